--- /dev/null
+++ b/src/calls.ts
@@ -0,0 +1,295 @@
+/**
+ * The caller side of a request: from the moment it reaches this node, from outside or from the local target,
+ * to its answer. A call has one attempt at a time.
+ */
+import type { Map } from "immutable";
+import type { Effect } from "./effects.ts";
+import type { CallStarted, EventOf, EventStamp } from "./events.ts";
+import { levelOf } from "./priority.ts";
+import { shareOf } from "./retries.ts";
+import { chooseMember, onAttemptEnded, onAttemptSent } from "./routing.ts";
+import { findParentRun, poolOfRun, setPoolOfRun } from "./runs.ts";
+import type { NodeState, Step } from "./state.ts";
+import { andThen, findKind, findService, step } from "./state.ts";
+import type { Kind, LoadReport, Member, NotRun, Outcome, RefusalReason, Unknown } from "./types.ts";
+import { assertNever, notRun, unknown } from "./types.ts";
+import { emptyMap } from "./util.ts";
+
+/** Redirects that one call follows; each marks a member for all later calls, so that few calls need one. */
+const REDIRECT_LIMIT = 2;
+
+export interface Attempt {
+    readonly id: number;
+    readonly member: Member;
+    readonly sentAt: number;
+    /** Extra attempts handed down and not yet reported back. */
+    readonly handedDown: number;
+}
+
+/** Where the extra attempts of a call are counted: at the call itself, or at the run that made it. */
+export type Pool = { readonly type: "own"; readonly retries: number; } | {
+    readonly type: "run";
+    readonly run: number;
+};
+
+export interface Call {
+    readonly id: number;
+    readonly service: string;
+    readonly requestId: string;
+    readonly kind: Kind;
+    readonly level: number;
+    readonly key?: string | undefined;
+    readonly deadlineAt: number;
+    readonly depth: number;
+    readonly pool: Pool;
+    readonly replayable: boolean;
+    readonly tried: readonly string[];
+    readonly redirects: number;
+    readonly nextAttempt: number;
+    readonly attempt?: Attempt | undefined;
+    /** Why an earlier attempt may have run; the call can then no longer end as "not run". */
+    readonly mayHaveRun?: Unknown | undefined;
+    readonly relaying: boolean;
+}
+
+export interface CallsState {
+    readonly calls: Map<number, Call>;
+}
+
+export function createCallsState(): CallsState {
+    return { calls: emptyMap() };
+}
+
+export function onCallStarted(state: NodeState, event: EventOf<"call_started">): Step {
+    const created = createCall(state, event);
+    if (created.type === "not-run") {
+        return step(state, ...refusal(event.call, created));
+    }
+    const { call } = created;
+    const counted: Effect[] = [{ type: "count", counter: "calls", label: call.kind.name }];
+    if (!event.tracked) counted.push({ type: "count", counter: "untracked_calls", label: event.service });
+    return andThen(
+        step(putCall(state, call), ...counted, { type: "wake_at", at: call.deadlineAt }),
+        next => sendAttempt(next, call, event),
+    );
+}
+
+type Created = { readonly type: "call"; readonly call: Call; } | NotRun;
+
+function createCall(state: NodeState, event: CallStarted & EventStamp): Created {
+    if (state.control.config === undefined) return notRun("no-configuration", 1_000);
+    const service = findService(state, event.service);
+    if (service === undefined) return notRun("unknown-service");
+    const parent = event.from === "egress" && event.tracked
+        ? findParentRun(state, event.requestId)
+        : undefined;
+    const kind = findKind(state, event.kind ?? parent?.ctx.kind ?? service.defaultKind);
+    if (kind === undefined || (event.from === "entry" && !kind.external)) return notRun("unknown-kind");
+    const ownDeadlineMs = Math.min(event.deadlineMs ?? kind.deadlineMs, kind.deadlineMs);
+    const deadlineAt = Math.min(event.now + ownDeadlineMs, parent?.deadlineAt ?? Infinity);
+    return {
+        type: "call",
+        call: {
+            id: event.call,
+            service: event.service,
+            requestId: event.requestId,
+            kind,
+            level: levelOf(kind, event.requestId),
+            key: kind.nonIdempotent ? event.key ?? `${event.requestId}:${event.fingerprint}` : undefined,
+            deadlineAt,
+            depth: (parent?.ctx.depth ?? 0) + 1,
+            pool: poolFor(event, kind, parent?.id),
+            replayable: event.replayable,
+            tried: [],
+            redirects: 0,
+            nextAttempt: 0,
+            relaying: false,
+        },
+    };
+}
+
+function poolFor(event: CallStarted, kind: Kind, parentRun: number | undefined): Pool {
+    if (parentRun !== undefined) return { type: "run", run: parentRun };
+    return { type: "own", retries: event.from === "entry" ? kind.retries : 0 };
+}
+
+function sendAttempt(state: NodeState, call: Call, stamp: EventStamp): Step {
+    const remainingMs = call.deadlineAt - stamp.now;
+    if (remainingMs <= 0) return endCall(state, call, notRun("deadline"));
+    const choice = chooseMember(state, {
+        service: call.service,
+        level: call.level,
+        tried: call.tried,
+        key: call.key,
+        now: stamp.now,
+        rand: stamp.rand,
+    });
+    if (choice.type === "not-run") return endCall(state, call, choice);
+    const handedDown = shareOf(heldBy(state, call.pool));
+    const attempt: Attempt = { id: call.nextAttempt, member: choice.member, sentAt: stamp.now, handedDown };
+    const sent: Call = {
+        ...call,
+        attempt,
+        nextAttempt: call.nextAttempt + 1,
+        tried: [...call.tried, choice.member.id],
+    };
+    const spent = changePool(putCall(state, sent), sent, -handedDown);
+    return step(
+        { ...spent, routing: onAttemptSent(spent.routing, choice.member) },
+        {
+            type: "send_attempt",
+            call: call.id,
+            attempt: attempt.id,
+            member: choice.member,
+            ctx: {
+                requestId: call.requestId,
+                kind: call.kind.name,
+                key: call.key,
+                deadlineMs: remainingMs,
+                retries: handedDown,
+                depth: call.depth,
+                sender: state.self.id,
+            },
+            connections: findService(state, call.service)?.connections ?? 1,
+        },
+    );
+}
+
+export function onAttemptAnswered(state: NodeState, event: EventOf<"attempt_answered">): Step {
+    const call = state.calls.calls.get(event.call);
+    if (call?.attempt === undefined || call.attempt.id !== event.attempt || call.relaying) {
+        return step(state, { type: "count", counter: "late_answers", label: event.outcome.type });
+    }
+    const attempt = call.attempt;
+    const returned = changePool(state, call, Math.min(event.retriesLeft, attempt.handedDown));
+    const current = returned.calls.calls.get(call.id)!;
+    if (event.outcome.type === "ran") {
+        return step(
+            noteResult(putCall(returned, { ...current, relaying: true }), attempt, event),
+            { type: "relay_answer", call: call.id, attempt: attempt.id },
+        );
+    }
+    const noted = noteResult(returned, attempt, event);
+    return afterFailure(noted, { ...current, attempt: undefined }, event.outcome, event);
+}
+
+function noteResult(
+    state: NodeState,
+    attempt: Attempt,
+    event: EventStamp & { readonly outcome: Outcome; readonly load?: LoadReport | undefined; },
+): NodeState {
+    const routing = onAttemptEnded(state.routing, attempt.member.id, {
+        now: event.now,
+        latencyMs: event.now - attempt.sentAt,
+        outcome: event.outcome,
+        load: event.load,
+    });
+    return { ...state, routing };
+}
+
+/** Decides whether a failed attempt is followed by another one. */
+function afterFailure(state: NodeState, call: Call, outcome: NotRun | Unknown, stamp: EventStamp): Step {
+    const marked: Call = outcome.type === "unknown" ? { ...call, mayHaveRun: outcome } : call;
+    if (!call.replayable) return endCall(state, marked, outcome);
+    if (outcome.type === "not-run" && isRedirect(outcome.reason)) {
+        if (call.redirects >= REDIRECT_LIMIT) return endCall(state, marked, outcome);
+        const redirected = { ...marked, redirects: call.redirects + 1 };
+        return sendAttempt(putCall(state, redirected), redirected, stamp);
+    }
+    if (outcome.type === "unknown" && call.kind.nonIdempotent) return endCall(state, marked, outcome);
+    if (heldBy(state, call.pool) < 1) {
+        return andThen(
+            step(state, { type: "count", counter: "retries_denied", label: "allowance" }),
+            next => endCall(next, marked, outcome),
+        );
+    }
+    const paid = changePool(putCall(state, marked), marked, -1);
+    return andThen(
+        step(paid, { type: "count", counter: "retries", label: outcome.reason }),
+        next => sendAttempt(next, next.calls.calls.get(call.id)!, stamp),
+    );
+}
+
+/** Whether a refusal concerns the member and not its load. */
+export function isRedirect(reason: RefusalReason): boolean {
+    return reason === "draining" || reason === "target-down" || reason === "connect-failed"
+        || reason === "not-owner";
+}
+
+export function onAttemptClosed(state: NodeState, event: EventOf<"attempt_closed">): Step {
+    const call = state.calls.calls.get(event.call);
+    if (call === undefined || call.attempt?.id !== event.attempt) return step(state);
+    const removed = removeCall(state, call);
+    return event.complete
+        ? step(removed)
+        : step(removed, { type: "count", counter: "unknowns", label: "truncated" });
+}
+
+export function onCallCancelled(state: NodeState, event: EventOf<"call_cancelled">): Step {
+    const call = state.calls.calls.get(event.call);
+    if (call === undefined) return step(state);
+    return step(
+        abandonAttempt(removeCall(state, call), call, event.now, unknown("cancelled")),
+        ...cancelAttempt(call),
+    );
+}
+
+/** Ends the calls whose deadline has passed. */
+export function expireCalls(state: NodeState, stamp: EventStamp): Step {
+    let result = step(state);
+    for (const call of state.calls.calls.values()) {
+        if (call.deadlineAt > stamp.now) continue;
+        const outcome = call.attempt === undefined ? notRun("deadline") : unknown("deadline");
+        result = andThen(result, next =>
+            andThen(
+                step(abandonAttempt(next, call, stamp.now, unknown("deadline")), ...cancelAttempt(call)),
+                abandoned => endCall(abandoned, call, outcome),
+            ));
+    }
+    return result;
+}
+
+function abandonAttempt(state: NodeState, call: Call, now: number, outcome: Unknown): NodeState {
+    if (call.attempt === undefined || call.relaying) return state;
+    return noteResult(state, call.attempt, { now, rand: 0, outcome });
+}
+
+function cancelAttempt(call: Call): readonly Effect[] {
+    return call.attempt === undefined
+        ? []
+        : [{ type: "cancel_attempt", call: call.id, attempt: call.attempt.id }];
+}
+
+function endCall(state: NodeState, call: Call, outcome: NotRun | Unknown): Step {
+    const told = outcome.type === "not-run" ? call.mayHaveRun ?? outcome : outcome;
+    return step(removeCall(state, call), ...refusal(call.id, told));
+}
+
+function refusal(call: number, outcome: NotRun | Unknown): readonly Effect[] {
+    const counter = outcome.type === "not-run" ? "refusals" : "unknowns";
+    return [{ type: "count", counter, label: outcome.reason }, { type: "refuse_call", call, outcome }];
+}
+
+function heldBy(state: NodeState, pool: Pool): number {
+    switch (pool.type) {
+        case "own":
+            return pool.retries;
+        case "run":
+            return poolOfRun(state, pool.run);
+        default:
+            return assertNever(pool);
+    }
+}
+
+function changePool(state: NodeState, call: Call, by: number): NodeState {
+    if (call.pool.type === "run") return setPoolOfRun(state, call.pool.run, heldBy(state, call.pool) + by);
+    return putCall(state, { ...call, pool: { type: "own", retries: call.pool.retries + by } });
+}
+
+function putCall(state: NodeState, call: Call): NodeState {
+    return { ...state, calls: { ...state.calls, calls: state.calls.calls.set(call.id, call) } };
+}
+
+function removeCall(state: NodeState, call: Call): NodeState {
+    return { ...state, calls: { ...state.calls, calls: state.calls.calls.delete(call.id) } };
+}
--- /dev/null
+++ b/src/commands/node.ts
@@ -0,0 +1,21 @@
+/** `filbertspool node`: the process beside a target. */
+import { NodeRuntime } from "../runtime.ts";
+import type { Environment, Flags } from "../settings.ts";
+import { parseNodeSettings } from "../settings.ts";
+
+export async function runNode(flags: Flags, env: Environment): Promise<void> {
+    const settings = parseNodeSettings(flags, env);
+    const runtime = new NodeRuntime({
+        settings,
+        onExit: () => void runtime.stop().then(() => process.exit(0)),
+    });
+    await runtime.start();
+    let signals = 0;
+    for (const signal of ["SIGTERM", "SIGINT"] as const) {
+        process.on(signal, () => {
+            signals++;
+            if (signals > 1) process.exit(1);
+            runtime.drain();
+        });
+    }
+}
--- /dev/null
+++ b/src/effects.ts
@@ -0,0 +1,88 @@
+/** What the reducer asks the runtime to do. Effects are plain data; the runtime carries them out in order. */
+import type { LogRecord } from "./logRecords.ts";
+import type { PeerDatagram, PeerRequest, PeerResponse } from "./peerMessages.ts";
+import type { Address, CallContext, LoadReport, Member, NotRun, RecordedAnswer, Unknown } from "./types.ts";
+
+export type Effect =
+    /** Sends an attempt of a call to a member, possibly this node. */
+    | {
+        readonly type: "send_attempt";
+        readonly call: number;
+        readonly attempt: number;
+        readonly member: Member;
+        readonly ctx: CallContext;
+        /** Connections to keep to this member at most. */
+        readonly connections: number;
+    }
+    | { readonly type: "cancel_attempt"; readonly call: number; readonly attempt: number; }
+    /** Streams an attempt's answer to the caller. */
+    | { readonly type: "relay_answer"; readonly call: number; readonly attempt: number; }
+    | { readonly type: "refuse_call"; readonly call: number; readonly outcome: NotRun | Unknown; }
+    /** Writes the request to the local target at once; `startBefore` is the last moment it may start. */
+    | {
+        readonly type: "forward_run";
+        readonly run: number;
+        readonly target: Address;
+        readonly deadlineMs: number;
+        readonly startBefore?: number | undefined;
+        /** Keep the answer, up to the size bound, for `run_ended`. */
+        readonly record: boolean;
+    }
+    | { readonly type: "cancel_run"; readonly run: number; }
+    /** Refuses a run, or answers it without running: the requester gets the outcome. */
+    | {
+        readonly type: "refuse_run";
+        readonly run: number;
+        readonly outcome: NotRun | Unknown;
+        readonly retriesLeft: number;
+        readonly load: LoadReport;
+    }
+    /** Sends the head of the target's answer to the requester, and the body as it comes. */
+    | {
+        readonly type: "relay_run";
+        readonly run: number;
+        readonly retriesLeft: number;
+        readonly load: LoadReport;
+    }
+    /** Answers a run with the recorded answer of an earlier run of its key. */
+    | {
+        readonly type: "replay_run";
+        readonly run: number;
+        readonly answer: RecordedAnswer;
+        readonly retriesLeft: number;
+        readonly load: LoadReport;
+    }
+    | { readonly type: "read_log"; readonly from: number; readonly waitMs: number; }
+    | { readonly type: "append"; readonly record: LogRecord; }
+    | { readonly type: "send_datagram"; readonly to: Address; readonly datagram: PeerDatagram; }
+    | {
+        readonly type: "send_rpc";
+        readonly token: string;
+        readonly to: Address;
+        readonly request: PeerRequest;
+        readonly timeoutMs: number;
+    }
+    | { readonly type: "answer_rpc"; readonly token: number; readonly response: PeerResponse; }
+    | { readonly type: "wake_at"; readonly at: number; }
+    | { readonly type: "exit"; }
+    | { readonly type: "count"; readonly counter: Counter; readonly label: string; readonly by?: number; }
+    | {
+        readonly type: "log";
+        readonly event: string;
+        readonly fields: Readonly<Record<string, string | number | boolean>>;
+    };
+
+/** Counters with one label each; the label's name is in `metrics.ts`. */
+export type Counter =
+    | "refusals"
+    | "unknowns"
+    | "retries"
+    | "retries_denied"
+    | "late_answers"
+    | "calls"
+    | "runs"
+    | "untracked_calls"
+    | "bad_messages"
+    | "control_messages"
+    | "view_changes"
+    | "config_records";
--- /dev/null
+++ b/src/headers.ts
@@ -0,0 +1,138 @@
+/** Headers of calls: W3C trace context and baggage, the `fp-` headers between nodes, and hop-by-hop headers. */
+import type { IncomingHttpHeaders } from "node:http";
+import { safeParseCallContext, safeParseJson, safeParseLoadReport } from "./parse.ts";
+import type {
+    CallContext,
+    LoadReport,
+    NotRun,
+    Outcome,
+    RefusalReason,
+    Unknown,
+    UnknownReason,
+} from "./types.ts";
+import { notRun, refusalReasons, unknown, unknownReasons } from "./types.ts";
+
+export type Headers = Record<string, string | string[]>;
+
+const HOP_BY_HOP = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "expect",
+]);
+
+/** The headers to pass on: without hop-by-hop headers and without ours. */
+export function passedHeaders(headers: IncomingHttpHeaders): Headers {
+    const passed: Headers = {};
+    for (const [name, value] of Object.entries(headers)) {
+        if (value === undefined || HOP_BY_HOP.has(name) || name.startsWith("fp-")) continue;
+        passed[name] = value;
+    }
+    return passed;
+}
+
+const TRACEPARENT = /^00-([0-9a-f]{32})-[0-9a-f]{16}-[0-9a-f]{2}$/;
+
+/** The trace id of a `traceparent` header, undefined when it is missing or malformed. */
+export function traceIdOf(headers: IncomingHttpHeaders): string | undefined {
+    const value = headers["traceparent"];
+    const traceId = typeof value === "string" ? TRACEPARENT.exec(value)?.[1] : undefined;
+    return traceId === "0".repeat(32) ? undefined : traceId;
+}
+
+export function traceparent(traceId: string, spanId: string): string {
+    return `00-${traceId}-${spanId}-01`;
+}
+
+/** The value of a member of the W3C `baggage` header. */
+export function baggageMember(headers: IncomingHttpHeaders, name: string): string | undefined {
+    const value = headers["baggage"];
+    if (typeof value !== "string") return undefined;
+    for (const member of value.split(",")) {
+        const [key, rest] = member.split(";", 1)[0]!.split("=", 2);
+        if (key?.trim() === name && rest !== undefined) return safeDecode(rest.trim());
+    }
+    return undefined;
+}
+
+function safeDecode(text: string): string | undefined {
+    try {
+        return decodeURIComponent(text);
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** The `baggage` header with our member set to the kind and the others kept. */
+export function baggageWithKind(headers: IncomingHttpHeaders, kind: string): string {
+    const value = headers["baggage"];
+    const others = typeof value === "string"
+        ? value.split(",").filter(member => member.trim() !== "" && !member.trim().startsWith("fp.kind="))
+        : [];
+    return [...others, `fp.kind=${encodeURIComponent(kind)}`].join(",");
+}
+
+/** The call context of a request from another node; undefined when it is not valid. */
+export function callContextOf(headers: IncomingHttpHeaders): CallContext | undefined {
+    const value = headers["fp-call"];
+    if (typeof value !== "string") return undefined;
+    const json = safeParseJson(value);
+    if (!json.success) return undefined;
+    const parsed = safeParseCallContext(json.value);
+    return parsed.success ? parsed.value : undefined;
+}
+
+export function answerHeaders(outcome: Outcome, retriesLeft: number, load: LoadReport): Headers {
+    const headers: Headers = {
+        "fp-outcome": outcome.type,
+        "fp-retries-left": String(retriesLeft),
+        "fp-load": JSON.stringify(load),
+    };
+    if (outcome.type !== "ran") headers["fp-reason"] = outcome.reason;
+    if (outcome.type === "not-run") headers["fp-retry-after-ms"] = String(outcome.retryAfterMs);
+    return headers;
+}
+
+/** What a node said of an attempt. Anything that is not a valid statement is an unknown outcome. */
+export function outcomeOf(status: number, headers: IncomingHttpHeaders): Outcome {
+    const reason = headers["fp-reason"];
+    switch (headers["fp-outcome"]) {
+        case "ran":
+            return { type: "ran", status };
+        case "not-run":
+            return parseNotRun(reason, Number(headers["fp-retry-after-ms"] ?? 0));
+        default:
+            return parseUnknown(reason);
+    }
+}
+
+function parseNotRun(reason: unknown, retryAfterMs: number): NotRun | Unknown {
+    if (!refusalReasons.includes(reason as RefusalReason)) return unknown("connection-lost");
+    return notRun(reason as RefusalReason, Number.isFinite(retryAfterMs) ? retryAfterMs : 0);
+}
+
+function parseUnknown(reason: unknown): Unknown {
+    return unknown(
+        unknownReasons.includes(reason as UnknownReason) ? reason as UnknownReason : "connection-lost",
+    );
+}
+
+export function retriesLeftOf(headers: IncomingHttpHeaders): number {
+    const value = Number(headers["fp-retries-left"] ?? 0);
+    return Number.isInteger(value) && value >= 0 ? value : 0;
+}
+
+export function loadOf(headers: IncomingHttpHeaders): LoadReport | undefined {
+    const value = headers["fp-load"];
+    if (typeof value !== "string") return undefined;
+    const json = safeParseJson(value);
+    const parsed = json.success ? safeParseLoadReport(json.value) : json;
+    return parsed.success ? parsed.value : undefined;
+}
--- /dev/null
+++ b/src/initialState.ts
@@ -0,0 +1,38 @@
+/** The state of a node that has just started. */
+import { createAdmissionState } from "./admission.ts";
+import { createCallsState } from "./calls.ts";
+import { createControlState } from "./controlLog.ts";
+import { createCrashesState } from "./crashes.ts";
+import { createLogReaderState } from "./logReader.ts";
+import { createMembershipState } from "./membership.ts";
+import { createOwnershipState } from "./ownership.ts";
+import { createRecordsState } from "./records.ts";
+import { createBudgetsState } from "./retries.ts";
+import { createRoutingState } from "./routing.ts";
+import { createRunsState } from "./runs.ts";
+import type { NodeState } from "./state.ts";
+import type { Address, Member } from "./types.ts";
+
+export interface NodeOptions {
+    readonly self: Member;
+    readonly joinAddresses?: readonly Address[];
+}
+
+export function createNodeState(opts: NodeOptions): NodeState {
+    return {
+        self: opts.self,
+        joinAddresses: opts.joinAddresses ?? [],
+        draining: false,
+        control: createControlState(),
+        logReader: createLogReaderState(),
+        members: createMembershipState(),
+        ownership: createOwnershipState(),
+        records: createRecordsState(),
+        crashes: createCrashesState(),
+        calls: createCallsState(),
+        routing: createRoutingState(),
+        budgets: createBudgetsState(),
+        runs: createRunsState(),
+        admission: createAdmissionState(),
+    };
+}
--- /dev/null
+++ b/src/log.ts
@@ -0,0 +1,21 @@
+/** Log lines through `debug`: one JSON object an event, in a namespace of its own below `filbertspool`. */
+import createDebug from "debug";
+import type { Debugger } from "debug";
+
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+const debuggers = new Map<string, Debugger>();
+
+/** Enables namespaces, in the syntax of `debug`, such as `filbertspool:*`. */
+export function enableLog(namespaces: string): void {
+    createDebug.enable(namespaces);
+}
+
+export function logEvent(event: string, fields: LogFields = {}): void {
+    let log = debuggers.get(event);
+    if (log === undefined) {
+        log = createDebug(`filbertspool:${event}`);
+        debuggers.set(event, log);
+    }
+    if (log.enabled) log("%s", JSON.stringify({ event, ...fields }));
+}
--- /dev/null
+++ b/src/logClient.ts
@@ -0,0 +1,96 @@
+/** Client of the platform's log service: appends and long polls over HTTP. */
+import { Pool } from "undici";
+import { LogServiceError, messageOf } from "./errors.ts";
+import type { LogRecord } from "./logRecords.ts";
+import { safeParse, safeParseLogRecord } from "./parse.ts";
+import { logBatchSchema } from "./schemas.ts";
+
+const APPEND_TIMEOUT_MS = 2_000;
+const READ_MARGIN_MS = 2_000;
+const BATCH_LIMIT = 200;
+const CONNECTIONS = 4;
+
+export interface LogBatch {
+    readonly first: number;
+    readonly next: number;
+    readonly tail: number;
+    /** Records that could not be parsed are left out; their offsets still count in `next`. */
+    readonly records: readonly { readonly offset: number; readonly record: LogRecord; }[];
+    readonly malformed: number;
+}
+
+export type ReadResult =
+    | { readonly type: "batch"; readonly batch: LogBatch; }
+    | { readonly type: "gone"; readonly first: number; readonly next: number; };
+
+export class LogClient {
+    private readonly pool: Pool;
+
+    constructor(url: string) {
+        this.pool = new Pool(url, { connections: CONNECTIONS });
+    }
+
+    /** Appends a record and returns its offset. A lost answer is an error; the record may still be in the log. */
+    async append(record: LogRecord): Promise<number> {
+        const body = await this.request(
+            "POST",
+            "/streams/control/records",
+            APPEND_TIMEOUT_MS,
+            JSON.stringify(record),
+        );
+        const offset = (body.json as { offset?: unknown; }).offset;
+        if (body.status !== 200 || typeof offset !== "number") {
+            throw unexpected(`append answered ${body.status}`);
+        }
+        return offset;
+    }
+
+    async read(from: number, waitMs: number): Promise<ReadResult> {
+        const path = `/streams/control/records?from=${from}&wait=${waitMs}&max=${BATCH_LIMIT}`;
+        const { status, json } = await this.request("GET", path, waitMs + READ_MARGIN_MS);
+        if (status === 410) {
+            const { first, next } = json as { first: number; next: number; };
+            return { type: "gone", first, next };
+        }
+        const parsed = safeParse(logBatchSchema, json);
+        if (status !== 200 || !parsed.success) throw unexpected(`read answered ${status}`);
+        const records = parsed.value.records.flatMap(({ offset, record }) => {
+            const result = safeParseLogRecord(record);
+            return result.success ? [{ offset, record: result.value }] : [];
+        });
+        const { first, next, tail } = parsed.value;
+        return {
+            type: "batch",
+            batch: { first, next, tail, records, malformed: parsed.value.records.length - records.length },
+        };
+    }
+
+    private async request(
+        method: "GET" | "POST",
+        path: string,
+        timeoutMs: number,
+        body?: string,
+    ): Promise<{ readonly status: number; readonly json: unknown; }> {
+        try {
+            const response = await this.pool.request({
+                method,
+                path,
+                body: body ?? null,
+                headers: { "content-type": "application/json" },
+                signal: AbortSignal.timeout(timeoutMs),
+            });
+            return { status: response.statusCode, json: await response.body.json() };
+        }
+        catch (err) {
+            throw unexpected(messageOf(err));
+        }
+    }
+
+    async close(): Promise<void> {
+        await this.pool.destroy();
+    }
+}
+
+function unexpected(message: string): LogServiceError {
+    return new LogServiceError([{ code: "log-service", path: [], message: `log service: ${message}` }]);
+}
--- /dev/null
+++ b/src/peerMessages.ts
@@ -0,0 +1,88 @@
+/**
+ * Messages between nodes. Datagrams are JSON-RPC 2.0 notifications over UDP; requests and responses are
+ * JSON-RPC 2.0 calls over HTTP on the peer listener. The method of a message is its `type`.
+ */
+import type { ConfigVersion, Member, RecordedAnswer, View } from "./types.ts";
+
+export type MemberStatus = "alive" | "suspect" | "draining" | "dead";
+
+/** One piece of gossip about a member. */
+export interface MemberUpdate {
+    readonly member: Member;
+    readonly status: MemberStatus;
+    /** Raised by the member itself to refute a suspicion of this incarnation. */
+    readonly refutation: number;
+}
+
+/** What a node says of its own state on every probe. */
+export interface StateSummary {
+    readonly configNumber: number;
+    readonly logOffset: number;
+}
+
+interface ProbeBase {
+    readonly sender: Member;
+    readonly seq: number;
+    readonly summary: StateSummary;
+    readonly updates: readonly MemberUpdate[];
+}
+
+export type PeerDatagram =
+    | ProbeBase & { readonly type: "swim.ping"; }
+    | ProbeBase & { readonly type: "swim.pingReq"; readonly target: Member; }
+    | ProbeBase & { readonly type: "swim.ack"; };
+
+/** One key as handed over to its new owner. */
+export interface HandedRecord {
+    readonly key: string;
+    readonly state: "done" | "unknown";
+    readonly answer?: RecordedAnswer | undefined;
+    /** Age of the record when it was sent, ms. */
+    readonly ageMs: number;
+}
+
+export type PeerRequest =
+    | { readonly type: "swim.sync"; readonly sender: Member; readonly updates: readonly MemberUpdate[]; }
+    | { readonly type: "control.state"; }
+    | {
+        readonly type: "view.back";
+        readonly service: string;
+        readonly baseVersion: number;
+        readonly change: "join" | "leave" | "exclude";
+        readonly members: readonly Member[];
+    }
+    | { readonly type: "view.promise"; readonly service: string; readonly version: number; }
+    | { readonly type: "view.relay"; }
+    | {
+        readonly type: "records.handover";
+        readonly service: string;
+        readonly viewVersion: number;
+        readonly sender: string;
+        readonly records: readonly HandedRecord[];
+        /** Whether this is the last part of this sender's handover for the view version. */
+        readonly last: boolean;
+    }
+    | {
+        readonly type: "crashes.report";
+        readonly sender: string;
+        readonly crash: string;
+        readonly suspects: readonly string[];
+        readonly cleared: readonly string[];
+    };
+
+export type PeerResponse =
+    | { readonly type: "swim.sync"; readonly updates: readonly MemberUpdate[]; }
+    | {
+        readonly type: "control.state";
+        /** Last log offset applied, -1 for none. */
+        readonly offset: number;
+        readonly config?: ConfigVersion | undefined;
+        readonly views: Readonly<Record<string, View>>;
+    }
+    /** Ids in whose name the node backs the change: its own and its predecessor's at the same address. */
+    | { readonly type: "view.back"; readonly backers: readonly string[]; }
+    | { readonly type: "view.promise"; readonly voter?: string | undefined; }
+    /** `ageMs`: time since the relayed read was sent, undefined when there is none. */
+    | { readonly type: "view.relay"; readonly offset: number; readonly ageMs?: number | undefined; }
+    | { readonly type: "records.handover"; readonly accepted: boolean; }
+    | { readonly type: "crashes.report"; };
--- /dev/null
+++ b/src/runs.ts
@@ -0,0 +1,259 @@
+/**
+ * The ingress side of a request: admitted, queued or refused, and sent to the local target.
+ * Until `forward_run` nothing of a request has reached the target, so a refusal here is a true "not run".
+ */
+import type { List, Map } from "immutable";
+import { List as createList } from "immutable";
+import { hasCapacity, loadReport, onEnded, onForwarded } from "./admission.ts";
+import type { EventOf, EventStamp } from "./events.ts";
+import { checkOwner } from "./ownership.ts";
+import { levelOf } from "./priority.ts";
+import type { NodeState, Step } from "./state.ts";
+import { andThen, findKind, step } from "./state.ts";
+import type { CallContext, Kind, NotRun, Unknown } from "./types.ts";
+import { notRun, unknown } from "./types.ts";
+import { emptyMap } from "./util.ts";
+
+const QUEUE_LIMIT = 64;
+
+export interface Run {
+    readonly id: number;
+    readonly ctx: CallContext;
+    readonly kind: Kind;
+    readonly level: number;
+    readonly fingerprint: string;
+    readonly startedAt: number;
+    readonly deadlineAt: number;
+    readonly phase: "queued" | "forwarded" | "answered";
+    readonly forwardedAt?: number | undefined;
+    /** Extra attempts that calls of this run may still use. */
+    readonly retries: number;
+}
+
+export interface RunsState {
+    readonly runs: Map<number, Run>;
+    /** Ids of waiting runs, oldest first. */
+    readonly queue: List<number>;
+    /** The newest forwarded run of a request id: the parent of calls that the target makes. */
+    readonly byRequest: Map<string, number>;
+}
+
+export function createRunsState(): RunsState {
+    return { runs: emptyMap(), queue: createList(), byRequest: emptyMap() };
+}
+
+export function findParentRun(state: NodeState, requestId: string): Run | undefined {
+    const id = state.runs.byRequest.get(requestId);
+    return id === undefined ? undefined : state.runs.runs.get(id);
+}
+
+/** Extra attempts held by a run; none once its answer's head has been sent. */
+export function poolOfRun(state: NodeState, run: number): number {
+    const found = state.runs.runs.get(run);
+    return found === undefined || found.phase === "answered" ? 0 : found.retries;
+}
+
+export function setPoolOfRun(state: NodeState, run: number, retries: number): NodeState {
+    const found = state.runs.runs.get(run);
+    if (found === undefined || found.phase === "answered") return state;
+    return putRun(state, { ...found, retries });
+}
+
+export function onRunStarted(state: NodeState, event: EventOf<"run_started">): Step {
+    const kind = findKind(state, event.ctx.kind);
+    const refused = refuseAtArrival(state, event, kind);
+    if (refused !== undefined || kind === undefined) {
+        return refuseRun(state, event.run, refused ?? notRun("unknown-kind"), event.ctx.retries);
+    }
+    const run: Run = {
+        id: event.run,
+        ctx: event.ctx,
+        kind,
+        level: levelOf(kind, event.ctx.requestId),
+        fingerprint: event.fingerprint,
+        startedAt: event.now,
+        deadlineAt: event.now + event.ctx.deadlineMs,
+        phase: "queued",
+        retries: event.ctx.retries,
+    };
+    if (run.level > state.admission.level) {
+        return refuseRun(state, run.id, notRun("level", 1_000), run.retries);
+    }
+    if (hasCapacity(state.admission)) return forward(putRun(state, run), run, event);
+    if (state.runs.queue.size >= QUEUE_LIMIT) {
+        return refuseRun(state, run.id, notRun("over-limit", 1_000), run.retries);
+    }
+    const queued = putRun(state, run);
+    return step(
+        { ...queued, runs: { ...queued.runs, queue: queued.runs.queue.push(run.id) } },
+        { type: "wake_at", at: run.deadlineAt },
+    );
+}
+
+function refuseAtArrival(
+    state: NodeState,
+    event: EventOf<"run_started">,
+    kind: Kind | undefined,
+): NotRun | undefined {
+    if (state.control.config === undefined) return notRun("no-configuration", 1_000);
+    if (kind === undefined) return notRun("unknown-kind");
+    if (state.draining) return notRun("draining");
+    if (state.target === undefined || state.target.lost) return notRun("target-down");
+    if (event.ctx.deadlineMs <= 0) return notRun("deadline");
+    return undefined;
+}
+
+function forward(state: NodeState, run: Run, stamp: EventStamp): Step {
+    const target = state.target;
+    if (target === undefined) return endUnrun(state, run, notRun("target-down"));
+    if (run.ctx.key === undefined || !run.kind.nonIdempotent) return forwardNow(state, run, stamp);
+    const owner = checkOwner(state, run.ctx.key, stamp.now);
+    if (owner.type === "refuse") return endUnrun(state, run, notRun(owner.reason));
+    const record = state.records.keys.get(run.ctx.key);
+    if (record === undefined) {
+        const keys = state.records.keys.set(run.ctx.key, { state: "begun", run: run.id, at: stamp.now });
+        return forwardNow({ ...state, records: { ...state.records, keys } }, run, stamp, owner.startBefore);
+    }
+    switch (record.state) {
+        case "begun":
+            return endUnrun(state, run, notRun("in-progress", 1_000));
+        case "unknown":
+            return endUnrun(state, run, unknown("connection-lost"));
+        case "done":
+            if (record.answer === undefined) return endUnrun(state, run, unknown("already-run"));
+            return step(removeRun(state, run), {
+                type: "replay_run",
+                run: run.id,
+                answer: record.answer,
+                retriesLeft: run.retries,
+                load: loadReport(state.admission),
+            });
+    }
+}
+
+function forwardNow(state: NodeState, run: Run, stamp: EventStamp, startBefore?: number): Step {
+    const forwarded: Run = { ...run, phase: "forwarded", forwardedAt: stamp.now };
+    const next = putRun(state, forwarded);
+    return step(
+        {
+            ...next,
+            admission: onForwarded(next.admission),
+            runs: { ...next.runs, byRequest: next.runs.byRequest.set(run.ctx.requestId, run.id) },
+        },
+        { type: "count", counter: "runs", label: run.kind.name },
+        {
+            type: "forward_run",
+            run: run.id,
+            target: state.target!.address,
+            deadlineMs: run.deadlineAt - stamp.now,
+            startBefore,
+            record: run.kind.nonIdempotent,
+        },
+    );
+}
+
+export function onRunAnswered(state: NodeState, event: EventOf<"run_answered">): Step {
+    const run = state.runs.runs.get(event.run);
+    if (run === undefined || run.phase !== "forwarded") return step(state);
+    return step(putRun(state, { ...run, phase: "answered", retries: 0 }), {
+        type: "relay_run",
+        run: run.id,
+        retriesLeft: run.retries,
+        load: loadReport(state.admission),
+    });
+}
+
+export function onRunEnded(state: NodeState, event: EventOf<"run_ended">): Step {
+    const run = state.runs.runs.get(event.run);
+    if (run?.forwardedAt === undefined) return step(state);
+    const admission = onEnded(state.admission, {
+        now: event.now,
+        latencyMs: event.now - run.forwardedAt,
+        ok: event.outcome.type === "ran" && event.outcome.status < 500,
+    });
+    const ended = noteRecord({ ...removeRun(state, run), admission }, run, event);
+    const refused = event.outcome.type === "ran" || run.phase === "answered"
+        ? step(ended)
+        : refuseRun(ended, run.id, event.outcome, run.retries);
+    return andThen(refused, next => startQueued(next, event));
+}
+
+function noteRecord(state: NodeState, run: Run, event: EventOf<"run_ended">): NodeState {
+    const key = run.ctx.key;
+    if (key === undefined || !run.kind.nonIdempotent) return state;
+    const keys = event.outcome.type === "not-run"
+        ? state.records.keys.delete(key)
+        : state.records.keys.set(
+            key,
+            event.outcome.type === "ran"
+                ? { state: "done", answer: event.answer, at: event.now }
+                : { state: "unknown", at: event.now },
+        );
+    return { ...state, records: { ...state.records, keys } };
+}
+
+function startQueued(state: NodeState, stamp: EventStamp): Step {
+    let result = step(state);
+    while (result.state.runs.queue.size > 0 && hasCapacity(result.state.admission)) {
+        const id = result.state.runs.queue.first()!;
+        result = andThen(result, next => {
+            const popped = { ...next, runs: { ...next.runs, queue: next.runs.queue.shift() } };
+            const run = popped.runs.runs.get(id);
+            if (run === undefined) return step(popped);
+            if (run.deadlineAt <= stamp.now) return endUnrun(popped, run, notRun("queue-timeout"));
+            return forward(popped, run, stamp);
+        });
+    }
+    return result;
+}
+
+export function onRunCancelled(state: NodeState, event: EventOf<"run_cancelled">): Step {
+    const run = state.runs.runs.get(event.run);
+    if (run === undefined) return step(state);
+    if (run.phase !== "queued") return step(state, { type: "cancel_run", run: run.id });
+    return step(removeRun(state, run), { type: "count", counter: "refusals", label: "cancelled" });
+}
+
+/** Refuses queued runs whose deadline has passed and cancels forwarded ones. */
+export function expireRuns(state: NodeState, stamp: EventStamp): Step {
+    let result = step(state);
+    for (const run of state.runs.runs.values()) {
+        if (run.deadlineAt > stamp.now || run.phase !== "queued") continue;
+        result = andThen(result, next => endUnrun(next, run, notRun("queue-timeout")));
+    }
+    return result;
+}
+
+function endUnrun(state: NodeState, run: Run, outcome: NotRun | Unknown): Step {
+    return refuseRun(removeRun(state, run), run.id, outcome, run.retries);
+}
+
+function refuseRun(state: NodeState, run: number, outcome: NotRun | Unknown, retriesLeft: number): Step {
+    return step(
+        state,
+        {
+            type: "count",
+            counter: outcome.type === "not-run" ? "refusals" : "unknowns",
+            label: outcome.reason,
+        },
+        { type: "refuse_run", run, outcome, retriesLeft, load: loadReport(state.admission) },
+    );
+}
+
+function putRun(state: NodeState, run: Run): NodeState {
+    return { ...state, runs: { ...state.runs, runs: state.runs.runs.set(run.id, run) } };
+}
+
+function removeRun(state: NodeState, run: Run): NodeState {
+    const { runs, queue, byRequest } = state.runs;
+    return {
+        ...state,
+        runs: {
+            runs: runs.delete(run.id),
+            queue: run.phase === "queued" ? queue.filter(id => id !== run.id) : queue,
+            byRequest: byRequest.get(run.ctx.requestId) === run.id
+                ? byRequest.delete(run.ctx.requestId)
+                : byRequest,
+        },
+    };
+}
--- /dev/null
+++ b/src/settings.ts
@@ -0,0 +1,118 @@
+/**
+ * Settings of the commands: flags, and environment variables of the same names in upper case with the prefix
+ * `FILBERTSPOOL_`. A flag goes before its variable.
+ */
+import { isIP } from "node:net";
+import type { Issue } from "./errors.ts";
+import { SettingsError } from "./errors.ts";
+import type { ParseResult } from "./parse.ts";
+import type { Address } from "./types.ts";
+
+export type Flags = Readonly<Record<string, unknown>>;
+export type Environment = Readonly<Record<string, string | undefined>>;
+
+export interface NodeSettings {
+    readonly service: string;
+    readonly dataCentre: string;
+    readonly entry: Address;
+    readonly peer: Address;
+    readonly egress: Address;
+    readonly logUrl: string;
+    readonly join: readonly Address[];
+    readonly peerKey?: string | undefined;
+}
+
+type Reader<T> = (text: string) => T | undefined;
+
+/** Collects values and the issues of those that are wrong. */
+export class SettingsReader {
+    readonly issues: Issue[] = [];
+    private readonly flags: Flags;
+    private readonly env: Environment;
+
+    constructor(flags: Flags, env: Environment) {
+        this.flags = flags;
+        this.env = env;
+    }
+
+    optional<T>(flag: string, read: Reader<T>, valid: string): T | undefined {
+        const text = this.textOf(flag);
+        if (text === undefined) return undefined;
+        const value = read(text);
+        if (value === undefined) {
+            this.issues.push({ code: "invalid", path: [`--${flag}`], message: `"${text}" is not ${valid}` });
+        }
+        return value;
+    }
+
+    required<T>(flag: string, read: Reader<T>, valid: string): T | undefined {
+        if (this.textOf(flag) === undefined) {
+            const message = `missing; give ${valid} (or ${variableOf(flag)})`;
+            this.issues.push({ code: "missing", path: [`--${flag}`], message });
+            return undefined;
+        }
+        return this.optional(flag, read, valid);
+    }
+
+    private textOf(flag: string): string | undefined {
+        const value = this.flags[flag];
+        if (value === undefined) return this.env[variableOf(flag)];
+        return typeof value === "string" || typeof value === "number" ? String(value) : "";
+    }
+}
+
+export function variableOf(flag: string): string {
+    return `FILBERTSPOOL_${flag.toUpperCase().replaceAll("-", "_")}`;
+}
+
+export function readName(text: string): string | undefined {
+    return /^[a-z0-9][a-z0-9-]{0,62}$/.test(text) ? text : undefined;
+}
+
+/** `IP:port`, with an IPv6 number in brackets. */
+export function readAddress(text: string): Address | undefined {
+    const match = /^\[?([0-9a-fA-F.:]+?)\]?:(\d{1,5})$/.exec(text);
+    const host = match?.[1];
+    const port = Number(match?.[2]);
+    if (host === undefined || isIP(host) === 0 || port < 1 || port > 65_535) return undefined;
+    return { host, port };
+}
+
+export function readAddresses(text: string): readonly Address[] | undefined {
+    const addresses = text.split(",").filter(part => part !== "").map(readAddress);
+    return addresses.every(address => address !== undefined) ? addresses : undefined;
+}
+
+export function readUrl(text: string): string | undefined {
+    return URL.canParse(text) && /^https?:/.test(text) ? text.replace(/\/$/, "") : undefined;
+}
+
+const NAME = "a name of lower-case letters, digits and hyphens";
+const ADDRESS = "an address such as 127.0.0.1:7000";
+
+export function safeParseNodeSettings(flags: Flags, env: Environment): ParseResult<NodeSettings> {
+    const reader = new SettingsReader(flags, env);
+    const service = reader.required("service", readName, NAME);
+    const dataCentre = reader.required("data-centre", readName, NAME);
+    const entry = reader.required("entry", readAddress, ADDRESS);
+    const peer = reader.required("peer", readAddress, ADDRESS);
+    const egress = reader.required("egress", readAddress, ADDRESS);
+    const logUrl = reader.required("log-url", readUrl, "a URL such as http://127.0.0.1:7900");
+    const join = reader.optional("join", readAddresses, "a list of addresses separated by commas") ?? [];
+    const peerKey = reader.optional(
+        "peer-key",
+        text => text.length >= 16 ? text : undefined,
+        "at least 16 characters",
+    );
+    if (
+        reader.issues.length > 0 || service === undefined || dataCentre === undefined || entry === undefined
+        || peer === undefined || egress === undefined || logUrl === undefined
+    ) return { success: false, issues: reader.issues };
+    return { success: true, value: { service, dataCentre, entry, peer, egress, logUrl, join, peerKey } };
+}
+
+export function parseNodeSettings(flags: Flags, env: Environment): NodeSettings {
+    const result = safeParseNodeSettings(flags, env);
+    if (!result.success) throw new SettingsError(result.issues);
+    return result.value;
+}
--- /dev/null
+++ b/src/standins/logService.ts
@@ -0,0 +1,153 @@
+/**
+ * A small stand-in for the platform's append-only log service: streams with offsets, long polls, retention,
+ * and faults that tests switch on.
+ */
+import type { FastifyInstance } from "fastify";
+import { fastify } from "fastify";
+import * as v from "valibot";
+import { safeParse } from "../parse.ts";
+import type { Address } from "../types.ts";
+
+const RECORD_LIMIT_BYTES = 4 * 1024 * 1024;
+const WAIT_LIMIT_MS = 30_000;
+
+const faultsSchema = v.strictObject({
+    /** Refuse every request with 503. */
+    outage: v.optional(v.boolean()),
+    /** Delay of every answer. */
+    slowMs: v.optional(v.pipe(v.number(), v.minValue(0))),
+    /** Store appends but break the connection before the answer. */
+    loseAnswers: v.optional(v.boolean()),
+});
+
+const querySchema = v.object({
+    from: v.pipe(v.string(), v.regex(/^\d+$/), v.transform(Number)),
+    wait: v.optional(v.pipe(v.string(), v.regex(/^\d+$/), v.transform(Number)), "0"),
+    max: v.optional(v.pipe(v.string(), v.regex(/^[1-9]\d*$/), v.transform(Number)), "100"),
+});
+
+type Faults = v.InferOutput<typeof faultsSchema>;
+
+interface StoredRecord {
+    readonly record: unknown;
+    readonly at: number;
+}
+
+interface Stream {
+    first: number;
+    readonly records: StoredRecord[];
+    readonly waiters: Set<() => void>;
+}
+
+export interface LogServiceOptions {
+    readonly address: Address;
+    /** Records older than this are dropped. */
+    readonly retentionMs?: number;
+}
+
+export class LogService {
+    private readonly app: FastifyInstance;
+    private readonly streams = new Map<string, Stream>();
+    private readonly opts: LogServiceOptions;
+    private faults: Faults = {};
+    appends = 0;
+    reads = 0;
+
+    constructor(opts: LogServiceOptions) {
+        this.opts = opts;
+        this.app = fastify({ bodyLimit: RECORD_LIMIT_BYTES, forceCloseConnections: true });
+        this.app.addHook("onRequest", async (req, reply) => {
+            if (req.url === "/faults") return;
+            if (this.faults.slowMs !== undefined) await delay(this.faults.slowMs);
+            if (this.faults.outage === true) await reply.code(503).send({ error: "outage" });
+        });
+        this.addRoutes();
+    }
+
+    async start(): Promise<void> {
+        await this.app.listen(this.opts.address);
+    }
+
+    async stop(): Promise<void> {
+        for (const stream of this.streams.values()) stream.waiters.forEach(wake => wake());
+        await this.app.close();
+    }
+
+    setFaults(faults: Faults): void {
+        this.faults = faults;
+    }
+
+    private addRoutes(): void {
+        this.app.post("/streams/:stream/records", async (req, reply) => {
+            const stream = this.stream((req.params as { stream: string; }).stream);
+            const offset = stream.first + stream.records.length;
+            stream.records.push({ record: req.body, at: Date.now() });
+            this.appends++;
+            stream.waiters.forEach(wake => wake());
+            if (this.faults.loseAnswers === true) {
+                req.raw.destroy();
+                return reply.hijack();
+            }
+            return reply.send({ offset });
+        });
+        this.app.get("/streams/:stream/records", async (req, reply) => {
+            const stream = this.stream((req.params as { stream: string; }).stream);
+            const query = safeParse(querySchema, req.query, ["query"]);
+            if (!query.success) return reply.code(400).send({ issues: query.issues });
+            this.reads++;
+            const { from, wait, max } = query.value;
+            if (from >= this.tailOf(stream)) await this.waitForRecord(stream, Math.min(wait, WAIT_LIMIT_MS));
+            this.expire(stream);
+            const tail = this.tailOf(stream);
+            if (from < stream.first) return reply.code(410).send({ first: stream.first, next: tail });
+            const start = Math.min(from, tail) - stream.first;
+            const records = stream.records.slice(start, start + max)
+                .map(({ record }, index) => ({ offset: stream.first + start + index, record }));
+            return { first: stream.first, next: Math.min(from, tail) + records.length, tail, records };
+        });
+        this.app.post("/faults", async (req, reply) => {
+            const faults = safeParse(faultsSchema, req.body, ["faults"]);
+            if (!faults.success) return reply.code(400).send({ issues: faults.issues });
+            this.faults = faults.value;
+            return faults.value;
+        });
+    }
+
+    private stream(name: string): Stream {
+        let stream = this.streams.get(name);
+        if (stream === undefined) {
+            stream = { first: 0, records: [], waiters: new Set() };
+            this.streams.set(name, stream);
+        }
+        return stream;
+    }
+
+    private tailOf(stream: Stream): number {
+        return stream.first + stream.records.length;
+    }
+
+    private expire(stream: Stream): void {
+        const { retentionMs } = this.opts;
+        if (retentionMs === undefined) return;
+        while (stream.records.length > 0 && stream.records[0]!.at < Date.now() - retentionMs) {
+            stream.records.shift();
+            stream.first++;
+        }
+    }
+
+    private waitForRecord(stream: Stream, waitMs: number): Promise<void> {
+        return new Promise(resolve => {
+            const wake = () => {
+                clearTimeout(timer);
+                stream.waiters.delete(wake);
+                resolve();
+            };
+            const timer = setTimeout(wake, waitMs);
+            stream.waiters.add(wake);
+        });
+    }
+}
+
+function delay(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/src/standins/target.ts
@@ -0,0 +1,134 @@
+/**
+ * A stand-in for a target: a service instance with slots and a service time that announces itself to the node
+ * beside it and calls deeper services through that node.
+ */
+import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
+import { fastify } from "fastify";
+import { Pool } from "undici";
+import type { Address } from "../types.ts";
+import { formatAddress } from "../types.ts";
+
+const ANNOUNCE_PERIOD_MS = 2_000;
+const EGRESS_CONNECTIONS = 256;
+
+export interface TargetOptions {
+    readonly service: string;
+    readonly address: Address;
+    /** Egress listener of the node beside this target. */
+    readonly egress: Address;
+    /** Requests worked on at once; more wait. */
+    readonly slots?: number;
+    readonly serviceMs?: number;
+    /** Services called one after the other for each request. */
+    readonly calls?: readonly string[];
+}
+
+export interface TargetRequestLog {
+    readonly requestId: string;
+    readonly key: string | undefined;
+}
+
+export class Target {
+    /** Every request that was run, in order. */
+    readonly runs: TargetRequestLog[] = [];
+    private readonly app: FastifyInstance;
+    private readonly egress: Pool;
+    private readonly opts: TargetOptions;
+    private announceTimer: NodeJS.Timeout | undefined;
+    private busy = 0;
+    private readonly waiting: (() => void)[] = [];
+
+    constructor(opts: TargetOptions) {
+        this.opts = opts;
+        this.egress = new Pool(`http://${formatAddress(opts.egress)}`, { connections: EGRESS_CONNECTIONS });
+        this.app = fastify({ forceCloseConnections: true });
+        this.app.removeAllContentTypeParsers();
+        this.app.addContentTypeParser("*", { parseAs: "buffer" }, (_req, body, done) => done(null, body));
+        this.app.get("/standin/runs", async () => this.runs);
+        this.app.all("/*", (req, reply) => this.handle(req, reply));
+    }
+
+    async start(): Promise<void> {
+        await this.app.listen(this.opts.address);
+        await this.announce();
+        this.announceTimer = setInterval(() => void this.announce(), ANNOUNCE_PERIOD_MS);
+    }
+
+    async stop(): Promise<void> {
+        clearInterval(this.announceTimer);
+        await this.app.close();
+        await this.egress.destroy();
+    }
+
+    private async announce(): Promise<void> {
+        const { service, address } = this.opts;
+        await this.egress.request({
+            method: "POST",
+            path: "/announce",
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify({ service, address }),
+        }).then(res => res.body.dump()).catch(() => undefined);
+    }
+
+    private async handle(req: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+        const startBefore = Number(req.headers["fp-start-before"] ?? Infinity);
+        await this.takeSlot();
+        try {
+            if (Number(process.hrtime.bigint()) / 1e6 >= startBefore) {
+                return reply.code(503).send({ error: "too late to start" });
+            }
+            this.runs.push({
+                requestId: String(req.headers["traceparent"] ?? "").slice(3, 35),
+                key: req.headers["idempotency-key"] as string | undefined,
+            });
+            await delay(this.opts.serviceMs ?? 0);
+            const deeper: unknown[] = [];
+            for (const service of this.opts.calls ?? []) {
+                const answer = await this.callDeeper(service, req);
+                if (answer.status !== 200) {
+                    return await reply.code(answer.status).send({ service, answer: answer.body });
+                }
+                deeper.push(answer.body);
+            }
+            return await reply.send({ service: this.opts.service, path: req.url, deeper });
+        }
+        finally {
+            this.freeSlot();
+        }
+    }
+
+    private async callDeeper(
+        service: string,
+        req: FastifyRequest,
+    ): Promise<{ readonly status: number; readonly body: unknown; }> {
+        const headers: Record<string, string> = {};
+        for (const name of ["traceparent", "baggage"]) {
+            const value = req.headers[name];
+            if (typeof value === "string") headers[name] = value;
+        }
+        const response = await this.egress.request({
+            method: "POST",
+            path: `/${service}${req.url}`,
+            headers,
+        });
+        return { status: response.statusCode, body: await response.body.json().catch(() => undefined) };
+    }
+
+    private async takeSlot(): Promise<void> {
+        if (this.busy < (this.opts.slots ?? Infinity)) {
+            this.busy++;
+            return;
+        }
+        await new Promise<void>(resolve => this.waiting.push(resolve));
+    }
+
+    private freeSlot(): void {
+        const next = this.waiting.shift();
+        if (next === undefined) this.busy--;
+        else next();
+    }
+}
+
+function delay(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/src/state.ts
@@ -0,0 +1,66 @@
+/** The shape of a node's whole state, and the step that every sub-reducer returns. */
+import type { AdmissionState } from "./admission.ts";
+import type { CallsState } from "./calls.ts";
+import type { ControlState } from "./controlLog.ts";
+import type { CrashesState } from "./crashes.ts";
+import type { Effect } from "./effects.ts";
+import type { LogReaderState } from "./logReader.ts";
+import type { MembershipState } from "./membership.ts";
+import type { OwnershipState } from "./ownership.ts";
+import type { RecordsState } from "./records.ts";
+import type { BudgetsState } from "./retries.ts";
+import type { RoutingState } from "./routing.ts";
+import type { RunsState } from "./runs.ts";
+import type { Address, Kind, Member, Service } from "./types.ts";
+
+/** The target beside this node. */
+export interface LocalTarget {
+    readonly address: Address;
+    readonly announcedAt: number;
+    readonly lost: boolean;
+}
+
+export interface NodeState {
+    readonly self: Member;
+    /** Addresses of other nodes known from the settings. */
+    readonly joinAddresses: readonly Address[];
+    readonly target?: LocalTarget | undefined;
+    readonly draining: boolean;
+    readonly control: ControlState;
+    readonly logReader: LogReaderState;
+    readonly members: MembershipState;
+    readonly ownership: OwnershipState;
+    readonly records: RecordsState;
+    readonly crashes: CrashesState;
+    readonly calls: CallsState;
+    readonly routing: RoutingState;
+    readonly budgets: BudgetsState;
+    readonly runs: RunsState;
+    readonly admission: AdmissionState;
+}
+
+/** The result of one reducer step. */
+export interface Step {
+    readonly state: NodeState;
+    readonly effects: readonly Effect[];
+}
+
+export function step(state: NodeState, ...effects: readonly Effect[]): Step {
+    return { state, effects };
+}
+
+/** Runs a further step on the state of the first and joins their effects in order. */
+export function andThen(first: Step, next: (state: NodeState) => Step): Step {
+    const second = next(first.state);
+    if (first.effects.length === 0) return second;
+    if (second.effects.length === 0) return { state: second.state, effects: first.effects };
+    return { state: second.state, effects: [...first.effects, ...second.effects] };
+}
+
+export function findKind(state: NodeState, name: string): Kind | undefined {
+    return state.control.config?.configuration.kinds.find(kind => kind.name === name);
+}
+
+export function findService(state: NodeState, name: string): Service | undefined {
+    return state.control.config?.configuration.services.find(service => service.name === name);
+}
--- /dev/null
+++ b/test/endToEnd.test.ts
@@ -0,0 +1,72 @@
+/** The whole path as separate processes: log service, targets, nodes, the operator's command and a caller. */
+import { expect } from "chai";
+import { fetchText, freeAddress, ProcessGroup, untilStatus } from "./support/processes.ts";
+
+const CHAIN = [
+    { service: "calendar", calls: "booking" },
+    { service: "booking", calls: "gallery" },
+    { service: "gallery", calls: undefined },
+] as const;
+
+interface Deployment {
+    readonly logUrl: string;
+    readonly entry: string;
+    readonly targets: readonly string[];
+}
+
+async function startChain(processes: ProcessGroup): Promise<Deployment> {
+    const log = await freeAddress();
+    const logUrl = `http://${log}`;
+    processes.start(["standin-log", "--listen", log]);
+    const entries: string[] = [];
+    const targets: string[] = [];
+    for (const { service, calls } of CHAIN) {
+        const [entry, peer, egress, target] = [
+            await freeAddress(),
+            await freeAddress(),
+            await freeAddress(),
+            await freeAddress(),
+        ];
+        const common = ["--service", service, "--egress", egress];
+        processes.start([
+            "node",
+            ...common,
+            "--data-centre",
+            "a",
+            "--entry",
+            entry,
+            "--peer",
+            peer,
+            "--log-url",
+            logUrl,
+        ]);
+        processes.start([
+            "standin-target",
+            ...common,
+            "--listen",
+            target,
+            ...(calls === undefined ? [] : ["--calls", calls]),
+        ]);
+        entries.push(entry);
+        targets.push(target);
+    }
+    return { logUrl, entry: entries[0]!, targets };
+}
+
+describe("end to end", () => {
+    const processes = new ProcessGroup();
+    after(() => processes.stop());
+
+    it("carries a booking through three services, once each", async () => {
+        const { logUrl, entry, targets } = await startChain(processes);
+        await untilStatus(`${logUrl}/streams/control/records?from=0`, 200);
+        const applied = await processes.run(["apply", "examples/demo", "--log-url", logUrl]);
+        expect(applied).to.include({ code: 0, stderr: "" });
+        const headers = { "baggage": "fp.kind=book", "idempotency-key": "booking-1" };
+        const answer = await untilStatus(`http://${entry}/launches/7`, 200, { method: "POST", headers });
+        expect(JSON.parse(answer.text)).to.have.nested.property("deeper[0].deeper[0].service", "gallery");
+        for (const target of targets) {
+            expect(JSON.parse((await fetchText(`http://${target}/standin/runs`)).text)).to.have.length(1);
+        }
+    });
+});
--- /dev/null
+++ b/test/support/processes.ts
@@ -0,0 +1,92 @@
+/** Starts programs of the built binary as separate processes on free loopback ports, and ends them by id. */
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { request } from "undici";
+
+export const BINARY = new URL("../../dist/filbertspool", import.meta.url).pathname;
+const POLL_MS = 50;
+/** Bounds a wait so that a broken path fails the test and does not hang the runner. */
+const POLL_LIMIT = 400;
+
+/** A loopback port that was free a moment ago. */
+export function freePort(): Promise<number> {
+    return new Promise((resolve, reject) => {
+        const server = createServer();
+        server.once("error", reject);
+        server.listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as AddressInfo;
+            server.close(() => resolve(port));
+        });
+    });
+}
+
+export async function freeAddress(): Promise<string> {
+    return `127.0.0.1:${await freePort()}`;
+}
+
+export interface Finished {
+    readonly code: number | undefined;
+    readonly stdout: string;
+    readonly stderr: string;
+}
+
+export class ProcessGroup {
+    private readonly children: ChildProcess[] = [];
+
+    /** Starts a process that runs until `stop`. */
+    start(args: readonly string[]): ChildProcess {
+        const child = spawn(BINARY, args, { stdio: "ignore" });
+        this.children.push(child);
+        return child;
+    }
+
+    /** Runs a command to its end. */
+    run(args: readonly string[]): Promise<Finished> {
+        return new Promise((resolve, reject) => {
+            const child = spawn(BINARY, args, { stdio: ["ignore", "pipe", "pipe"] });
+            let stdout = "";
+            let stderr = "";
+            child.stdout.on("data", chunk => stdout += String(chunk));
+            child.stderr.on("data", chunk => stderr += String(chunk));
+            child.once("error", reject);
+            child.once("close", code => resolve({ code: code ?? undefined, stdout, stderr }));
+        });
+    }
+
+    async stop(): Promise<void> {
+        await Promise.all(this.children.map(child =>
+            new Promise<void>(resolve => {
+                if (child.exitCode !== null || child.signalCode !== null) return resolve();
+                child.once("close", () => resolve());
+                child.kill("SIGKILL");
+            })
+        ));
+    }
+}
+
+export interface TextAnswer {
+    readonly status: number;
+    readonly text: string;
+}
+
+export async function fetchText(url: string, opts: Parameters<typeof request>[1] = {}): Promise<TextAnswer> {
+    const res = await request(url, opts);
+    return { status: res.statusCode, text: await res.body.text() };
+}
+
+/** Repeats a query until it answers with the status. */
+export async function untilStatus(
+    url: string,
+    status: number,
+    opts: Parameters<typeof request>[1] = {},
+): Promise<TextAnswer> {
+    let answer: TextAnswer | undefined;
+    for (let tries = 0; tries < POLL_LIMIT; tries++) {
+        answer = await fetchText(url, opts).catch(() => undefined);
+        if (answer?.status === status) return answer;
+        await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+    throw new Error(`${url} did not answer ${status}; last answer: ${JSON.stringify(answer)}`);
+}
