Add fakes for scenarios in virtual time

Cause: policies and failure handling need nodes, targets, the log and a network without wall-clock time.

--- /dev/null
+++ b/test/fakes/fakeNode.ts
@@ -0,0 +1,385 @@
+/** One node of a test world: its reducer state, and the effects carried out on the fakes. */
+import type { Effect } from "../../src/effects.ts";
+import type { EventBody } from "../../src/events.ts";
+import { createNodeState } from "../../src/initialState.ts";
+import type { PeerResponse } from "../../src/peerMessages.ts";
+import type { NodeState } from "../../src/state.ts";
+import type { LoadReport, Member, Outcome } from "../../src/types.ts";
+import { assertNever, notRun, unknown } from "../../src/types.ts";
+import { FakeTarget } from "./fakeTarget.ts";
+import type { NodeSpec, Told, World } from "./world.ts";
+
+type EffectOf<T extends Effect["type"]> = Extract<Effect, { readonly type: T; }>;
+type Answer = (outcome: Outcome, retriesLeft: number, load: LoadReport) => void;
+
+interface PendingRun {
+    readonly requestId: string;
+    readonly kind: string;
+    readonly key?: string | undefined;
+    readonly answer: Answer;
+    cancel?: () => void;
+}
+
+export interface NewRequest {
+    readonly from: "entry" | "egress";
+    readonly service: string;
+    readonly requestId: string;
+    readonly kind?: string | undefined;
+    readonly key?: string | undefined;
+}
+
+const LOG_DELAY_MS = 2;
+const RPC_TIMEOUT_MS = 1_000;
+const ANNOUNCE_PERIOD_MS = 2_000;
+
+export class FakeNode {
+    alive = true;
+    paused = false;
+    state: NodeState;
+    readonly target: FakeTarget;
+    /** Log lines and counters are left out; a test may watch all other effects. */
+    onEffect: (effect: Effect) => void = () => undefined;
+    readonly counts = new Map<string, number>();
+    readonly member: Member;
+    bytesSent = 0;
+    private readonly world: World;
+    private nextId = 1;
+    private wakeAt = Infinity;
+    private readonly calls = new Map<number, (told: Told) => void>();
+    private readonly attempts = new Map<string, { cancel: () => void; status?: number; }>();
+    private readonly runs = new Map<number, PendingRun>();
+    private readonly rpcs = new Map<number, (response: PeerResponse) => void>();
+    private readonly held: (() => void)[] = [];
+
+    constructor(world: World, member: Member, spec: NodeSpec) {
+        this.world = world;
+        this.member = member;
+        const state = createNodeState({ self: member, joinAddresses: spec.joinAddresses ?? [] });
+        this.state = spec.prepare?.(state) ?? state;
+        const callDeeper: ConstructorParameters<typeof FakeTarget>[1]["callDeeper"] = (
+            service,
+            task,
+            done,
+        ) => {
+            this.startCall({ from: "egress", service, requestId: task.requestId, kind: task.kind }, told => {
+                done(told.type === "answered" ? told.status : 503);
+            });
+        };
+        this.target = new FakeTarget(world.scheduler, { ...spec.target, callDeeper }, () => {
+            this.dispatch({ type: "target_lost" });
+        });
+    }
+
+    start(): void {
+        this.dispatch({ type: "wake" });
+        this.announce();
+    }
+
+    private announce(): void {
+        if (!this.alive) return;
+        if (this.target.alive) {
+            this.dispatch({
+                type: "target_announced",
+                address: { host: "127.0.0.1", port: this.member.address.port },
+            });
+        }
+        this.world.scheduler.after(ANNOUNCE_PERIOD_MS, () => this.announce());
+    }
+
+    /** Ends the node's process at once; the target beside it stays. */
+    kill(): void {
+        this.alive = false;
+    }
+
+    /** Ends the whole host. */
+    killHost(): void {
+        this.kill();
+        this.target.crash();
+    }
+
+    pause(): void {
+        this.paused = true;
+    }
+
+    resume(): void {
+        this.paused = false;
+        for (const action of this.held.splice(0)) action();
+    }
+
+    drain(): void {
+        this.dispatch({ type: "drain_requested", source: "signal" });
+    }
+
+    /** Runs an action now, or after the node has resumed. */
+    whenRunning(action: () => void): void {
+        if (this.paused) this.held.push(action);
+        else if (this.alive) action();
+    }
+
+    startCall(req: NewRequest, done: (told: Told) => void): number {
+        const call = this.nextId++;
+        this.calls.set(call, done);
+        this.dispatch({
+            ...req,
+            type: "call_started",
+            call,
+            replayable: true,
+            fingerprint: `${req.service} ${req.requestId}`,
+            tracked: true,
+        });
+        return call;
+    }
+
+    dispatch(event: EventBody): void {
+        this.whenRunning(() => {
+            const stamped = { ...event, now: this.world.now, rand: this.world.scheduler.random() };
+            const { state, effects } = this.world.reduce(this.state, stamped);
+            this.state = state;
+            for (const effect of effects) this.perform(effect);
+        });
+    }
+
+    private perform(effect: Effect): void {
+        if (!this.alive) return;
+        this.onEffect(effect);
+        switch (effect.type) {
+            case "send_attempt":
+                return this.sendAttempt(effect);
+            case "cancel_attempt":
+                return this.attempts.get(`${effect.call}/${effect.attempt}`)?.cancel();
+            case "relay_answer":
+                return this.relayAnswer(effect);
+            case "refuse_call":
+                return this.tell(effect.call, effect.outcome);
+            case "forward_run":
+                return this.forwardRun(effect);
+            case "cancel_run":
+                return this.cancelRun(effect.run);
+            case "refuse_run":
+                return this.answerRun(effect.run, effect.outcome, effect.retriesLeft, effect.load);
+            case "relay_run":
+                return this.runs.get(effect.run)?.answer(
+                    { type: "ran", status: 200 },
+                    effect.retriesLeft,
+                    effect.load,
+                );
+            case "replay_run":
+                return this.answerRun(
+                    effect.run,
+                    { type: "ran", status: effect.answer.status },
+                    effect.retriesLeft,
+                    effect.load,
+                );
+            case "read_log":
+                return this.readLog(effect);
+            case "append":
+                return this.append(effect);
+            case "send_datagram":
+                return this.sendDatagram(effect);
+            case "send_rpc":
+                return this.sendRpc(effect);
+            case "answer_rpc":
+                this.rpcs.get(effect.token)?.(effect.response);
+                this.rpcs.delete(effect.token);
+                return;
+            case "wake_at":
+                return this.scheduleWake(effect.at);
+            case "exit":
+                return this.kill();
+            case "count": {
+                const name = `${effect.counter}.${effect.label}`;
+                this.counts.set(name, (this.counts.get(name) ?? 0) + (effect.by ?? 1));
+                return this.world.opts.onCount?.(this, effect.counter, effect.label);
+            }
+            case "log":
+                return;
+            default:
+                return assertNever(effect);
+        }
+    }
+
+    private scheduleWake(at: number): void {
+        if (at >= this.wakeAt) return;
+        this.wakeAt = at;
+        this.world.scheduler.after(at - this.world.now, () => {
+            if (this.wakeAt !== at) return;
+            this.wakeAt = Infinity;
+            this.dispatch({ type: "wake" });
+        });
+    }
+
+    private tell(call: number, told: Told): void {
+        const done = this.calls.get(call);
+        this.calls.delete(call);
+        done?.(told);
+    }
+
+    private sendAttempt(effect: EffectOf<"send_attempt">): void {
+        const { call, attempt, ctx } = effect;
+        const name = `${call}/${attempt}`;
+        const answer = (outcome: Outcome, retriesLeft: number, load?: LoadReport) => {
+            const pending = this.attempts.get(name);
+            if (pending !== undefined && outcome.type === "ran") pending.status = outcome.status;
+            this.dispatch({ type: "attempt_answered", call, attempt, outcome, retriesLeft, load });
+        };
+        this.attempts.set(name, { cancel: () => undefined });
+        if (effect.member.id === this.member.id) {
+            const run = this.startRun(effect, answer);
+            this.attempts.get(name)!.cancel = () => this.dispatch({ type: "run_cancelled", run });
+            return;
+        }
+        this.world.connect(this, effect.member, peer => {
+            const run = peer.startRun(effect, (outcome, retriesLeft, load) => {
+                this.world.deliver(peer, this, () => answer(outcome, retriesLeft, load));
+            });
+            peer.onLost(
+                run,
+                () => this.world.deliver(this, this, () => answer(unknown("connection-lost"), 0)),
+            );
+            this.attempts.get(name)!.cancel = () => {
+                this.world.deliver(this, peer, () => peer.dispatch({ type: "run_cancelled", run }));
+            };
+        }, () => this.whenRunning(() => answer(notRun("connect-failed"), ctx.retries)));
+    }
+
+    /** Takes a run from another node or from this one. */
+    startRun(effect: EffectOf<"send_attempt">, answer: Answer): number {
+        const run = this.nextId++;
+        const { requestId, kind, key } = effect.ctx;
+        this.runs.set(run, { requestId, kind, key, answer });
+        this.dispatch({
+            type: "run_started",
+            run,
+            ctx: effect.ctx,
+            fingerprint: `${this.member.service} ${requestId}`,
+        });
+        return run;
+    }
+
+    /** Calls back when this node ends while the run is in progress: its connections break. */
+    private onLost(run: number, lost: () => void): void {
+        const check = () => {
+            if (!this.runs.has(run)) return;
+            if (this.alive) this.world.scheduler.after(10, check);
+            else lost();
+        };
+        this.world.scheduler.after(10, check);
+    }
+
+    private answerRun(run: number, outcome: Outcome, retriesLeft: number, load: LoadReport): void {
+        const pending = this.runs.get(run);
+        this.runs.delete(run);
+        pending?.answer(outcome, retriesLeft, load);
+    }
+
+    private forwardRun(effect: EffectOf<"forward_run">): void {
+        const pending = this.runs.get(effect.run);
+        if (pending === undefined) return;
+        if (!this.target.alive) {
+            this.dispatch({ type: "target_lost" });
+            return this.dispatch({ type: "run_ended", run: effect.run, outcome: notRun("target-down") });
+        }
+        pending.cancel = this.target.submit({
+            ...pending,
+            done: outcome =>
+                this.whenRunning(() =>
+                    this.endRun(effect.run, outcome.type === "answered" ? outcome.status : undefined)
+                ),
+        });
+    }
+
+    private endRun(run: number, status: number | undefined): void {
+        if (status === undefined) {
+            this.dispatch({ type: "run_ended", run, outcome: unknown("target-crashed") });
+        }
+        else {
+            this.dispatch({ type: "run_answered", run, status });
+            const answer = { status, contentType: "text/plain", body: "" };
+            this.dispatch({ type: "run_ended", run, outcome: { type: "ran", status }, answer });
+        }
+        this.runs.delete(run);
+    }
+
+    private cancelRun(run: number): void {
+        this.runs.get(run)?.cancel?.();
+        this.dispatch({ type: "run_ended", run, outcome: unknown("cancelled") });
+        this.runs.delete(run);
+    }
+
+    private relayAnswer(effect: EffectOf<"relay_answer">): void {
+        const status = this.attempts.get(`${effect.call}/${effect.attempt}`)?.status ?? 200;
+        this.tell(effect.call, { type: "answered", status });
+        this.dispatch({ type: "attempt_closed", call: effect.call, attempt: effect.attempt, complete: true });
+    }
+
+    private readLog(effect: EffectOf<"read_log">): void {
+        const askedAt = this.world.now;
+        const { log, scheduler } = this.world;
+        const fail = () => this.dispatch({ type: "log_failed" });
+        const answer = () => {
+            if (log.outage || this.world.isCut(this, "log")) return fail();
+            const { first, next, tail, records } = log.read(effect.from);
+            if (effect.from < first) return this.dispatch({ type: "log_gone", first, next: tail });
+            this.dispatch({ type: "log_read", askedAt, first, next, atTail: next >= tail, records });
+        };
+        let answered = false;
+        const once = () => {
+            if (answered) return;
+            answered = true;
+            forget();
+            scheduler.after(LOG_DELAY_MS + log.slowMs, answer);
+        };
+        const forget = log.onAppend(once);
+        if (log.outage || this.world.isCut(this, "log") || effect.from < log.tail) once();
+        else scheduler.after(effect.waitMs, once);
+    }
+
+    private append(effect: EffectOf<"append">): void {
+        const { log, scheduler } = this.world;
+        const { id } = effect.record;
+        if (log.outage || this.world.isCut(this, "log")) {
+            scheduler.after(RPC_TIMEOUT_MS, () => this.dispatch({ type: "append_ended", id }));
+            return;
+        }
+        scheduler.after(LOG_DELAY_MS + log.slowMs, () => {
+            const offset = log.append(effect.record);
+            scheduler.after(
+                LOG_DELAY_MS,
+                () =>
+                    this.dispatch({ type: "append_ended", id, offset: log.loseAnswers ? undefined : offset }),
+            );
+        });
+    }
+
+    private sendDatagram(effect: EffectOf<"send_datagram">): void {
+        this.bytesSent += JSON.stringify(effect.datagram).length;
+        const peer = this.world.nodeAt(effect.to);
+        if (peer === undefined) return;
+        this.world.deliver(this, peer, () => {
+            peer.dispatch({
+                type: "datagram_received",
+                from: this.member.address,
+                datagram: effect.datagram,
+            });
+        });
+    }
+
+    private sendRpc(effect: EffectOf<"send_rpc">): void {
+        const askedAt = this.world.now;
+        let ended = false;
+        const end = (response?: PeerResponse) => {
+            if (ended) return;
+            ended = true;
+            this.dispatch({ type: "rpc_ended", token: effect.token, askedAt, response });
+        };
+        const peer = this.world.nodeAt(effect.to);
+        if (peer !== undefined && !this.world.isCut(this, peer)) {
+            this.world.deliver(this, peer, () => {
+                const token = peer.nextId++;
+                peer.rpcs.set(token, response => this.world.deliver(peer, this, () => end(response)));
+                peer.dispatch({ type: "rpc_received", token, request: effect.request });
+            });
+        }
+        this.world.scheduler.after(effect.timeoutMs, () => end());
+    }
+}
--- /dev/null
+++ b/test/fakes/fakeTarget.ts
@@ -0,0 +1,123 @@
+/** A target with slots and service times that calls deeper services through the node beside it. */
+import type { Scheduler } from "./scheduler.ts";
+
+export type TargetOutcome =
+    | { readonly type: "answered"; readonly status: number; }
+    | { readonly type: "crashed"; };
+
+export interface TargetTask {
+    readonly requestId: string;
+    readonly kind: string;
+    readonly key?: string | undefined;
+    readonly done: (outcome: TargetOutcome) => void;
+}
+
+export interface FakeTargetOptions {
+    readonly slots: number;
+    /** Mean of the exponentially distributed service time, ms. */
+    readonly serviceMs: number;
+    /** Services called one after the other once the own work is done. */
+    readonly calls?: readonly string[];
+    /** Calls a service through the node; calls back with whether it succeeded. */
+    readonly callDeeper: (service: string, task: TargetTask, done: (status: number) => void) => void;
+}
+
+interface ActiveTask {
+    readonly task: TargetTask;
+    cancelled: boolean;
+}
+
+export class FakeTarget {
+    /** Multiplies service times. */
+    slowdown = 1;
+    alive = true;
+    /** Requests whose work has started, in order. */
+    readonly started: TargetTask[] = [];
+    /** A request for which this holds crashes the target when it starts. */
+    crashesOn: (task: TargetTask) => boolean = () => false;
+    busyMs = 0;
+    private readonly active = new Set<ActiveTask>();
+    private readonly waiting: ActiveTask[] = [];
+    private readonly scheduler: Scheduler;
+    private readonly opts: FakeTargetOptions;
+    private readonly onCrash: () => void;
+
+    constructor(scheduler: Scheduler, opts: FakeTargetOptions, onCrash: () => void) {
+        this.scheduler = scheduler;
+        this.opts = opts;
+        this.onCrash = onCrash;
+    }
+
+    get inProgress(): number {
+        return this.active.size + this.waiting.length;
+    }
+
+    /** Takes a task; returns a function that cancels it. */
+    submit(task: TargetTask): () => void {
+        const entry: ActiveTask = { task, cancelled: false };
+        this.waiting.push(entry);
+        this.startWaiting();
+        return () => this.cancel(entry);
+    }
+
+    /** Ends all tasks without an answer. */
+    crash(): void {
+        if (!this.alive) return;
+        this.alive = false;
+        const lost = [...this.active, ...this.waiting];
+        this.active.clear();
+        this.waiting.length = 0;
+        this.onCrash();
+        for (const entry of lost) {
+            if (!entry.cancelled) entry.task.done({ type: "crashed" });
+            entry.cancelled = true;
+        }
+    }
+
+    restart(): void {
+        this.alive = true;
+    }
+
+    private startWaiting(): void {
+        while (this.alive && this.active.size < this.opts.slots) {
+            const entry = this.waiting.shift();
+            if (entry === undefined) return;
+            this.start(entry);
+        }
+    }
+
+    private start(entry: ActiveTask): void {
+        this.active.add(entry);
+        this.started.push(entry.task);
+        if (this.crashesOn(entry.task)) return this.crash();
+        const serviceMs = this.scheduler.exponential(this.opts.serviceMs) * this.slowdown;
+        this.busyMs += serviceMs;
+        this.scheduler.after(serviceMs, () => this.callNext(entry, 0));
+    }
+
+    private callNext(entry: ActiveTask, index: number): void {
+        if (entry.cancelled) return this.free(entry);
+        const service = this.opts.calls?.[index];
+        if (service === undefined) return this.finish(entry, 200);
+        this.opts.callDeeper(service, entry.task, status => {
+            if (status === 200) this.callNext(entry, index + 1);
+            else this.finish(entry, status);
+        });
+    }
+
+    private finish(entry: ActiveTask, status: number): void {
+        if (!entry.cancelled) entry.task.done({ type: "answered", status });
+        entry.cancelled = true;
+        this.free(entry);
+    }
+
+    private cancel(entry: ActiveTask): void {
+        entry.cancelled = true;
+        const index = this.waiting.indexOf(entry);
+        if (index >= 0) this.waiting.splice(index, 1);
+    }
+
+    private free(entry: ActiveTask): void {
+        if (this.active.delete(entry)) this.startWaiting();
+    }
+}
