Report a node as ready only when calls through it can succeed

Cause: test/endToEnd.test.ts sent its first call before booking had joined its view. calendar answered 503, which was recorded for the key and replayed to every resend, so the test could not pass. /readyz asked only for a configuration.

Change: /readyz is 200 when the node has a configuration and a target, is in the view of its service, and every service that its targets call has a member in view; otherwise it is 503 with the list of what is missing.

--- a/src/runtime.ts
+++ b/src/runtime.ts
@@ -16,6 +16,7 @@
 import { Metrics } from "./metrics.ts";
 import { safeParse, safeParseJson } from "./parse.ts";
 import type { PeerRequest, PeerResponse } from "./peerMessages.ts";
+import { missingForReadiness } from "./readiness.ts";
 import { reduce } from "./reducer.ts";
 import { createRpcServer, sendRpc } from "./rpc.ts";
 import { RunExchanges } from "./runExchanges.ts";
@@ -248,8 +249,11 @@
         );
         server.get("/healthz", async () => ({ alive: true }));
         server.get("/readyz", async (_req, reply) => {
-            const ready = this.state.control.config !== undefined && !this.state.draining;
-            return reply.code(ready ? 200 : 503).send({ ready });
+            const missing = missingForReadiness(this.state);
+            return reply.code(missing.length === 0 ? 200 : 503).send({
+                ready: missing.length === 0,
+                missing,
+            });
         });
         server.all("/run/*", (req, reply) => {
             const ctx = callContextOf(req.headers);
