Check a file set across its items and say what would be valid

Cause: faults between kinds, services and settings were found only at run time, and the messages for unknown fields did not name the valid ones. Change: all issues are reported at once with file and line; names, duplicates, default kinds, calls, cycles, deadlines over the resend horizon and replaced services are checked. Services take an optional `slots` hint. A configuration can be rendered as a file set. Conclusion: a faulty set is refused offline, before it reaches the log.

--- a/src/files.ts
+++ b/src/files.ts
@@ -1,49 +1,109 @@
 /**
  * The declarative file set: `kinds.yaml`, `services.yaml` and `settings.yaml` in one directory, read as a whole.
- * Issues name the file and the line.
+ * Every issue names the file, the line and what would be valid.
  */
-import { readFileSync } from "node:fs";
+import { readdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import * as v from "valibot";
-import { LineCounter, parseDocument } from "yaml";
+import { LineCounter, parseDocument, stringify } from "yaml";
 import type { Document } from "yaml";
 import type { Issue } from "./errors.ts";
 import { FileSetError, messageOf } from "./errors.ts";
+import { crossCheck } from "./fileSetChecks.ts";
 import type { ParseResult } from "./parse.ts";
-import { safeParse } from "./parse.ts";
 import { kindSchema, serviceSchema } from "./schemas.ts";
-import type { Configuration } from "./types.ts";
+import type { Configuration, Kind, Service } from "./types.ts";
 
 const DEFAULT_RESEND_HORIZON_MS = 600_000;
 export const FILE_FORMAT = 1;
 
-const kindsSchema = v.strictObject({ kinds: v.pipe(v.array(kindSchema), v.minLength(1)) });
-const servicesSchema = v.strictObject({ services: v.pipe(v.array(serviceSchema), v.minLength(1)) });
+const replacedServiceSchema = v.strictObject({
+    service: v.string(),
+    viewVersion: v.pipe(v.number(), v.integer(), v.minValue(0)),
+});
 const settingsSchema = v.strictObject({
     format: v.literal(FILE_FORMAT),
-    resendHorizonMs: v.optional(v.pipe(v.number(), v.minValue(1_000)), DEFAULT_RESEND_HORIZON_MS),
-    replacedServices: v.optional(
-        v.array(v.strictObject({ service: v.string(), viewVersion: v.pipe(v.number(), v.integer()) })),
-        [],
+    resendHorizonMs: v.optional(
+        v.pipe(v.number(), v.minValue(1_000), v.maxValue(86_400_000)),
+        DEFAULT_RESEND_HORIZON_MS,
     ),
+    replacedServices: v.optional(v.array(replacedServiceSchema), []),
 });
+const schemas = {
+    "kinds.yaml": v.strictObject({ kinds: v.pipe(v.array(kindSchema), v.minLength(1)) }),
+    "services.yaml": v.strictObject({ services: v.pipe(v.array(serviceSchema), v.minLength(1)) }),
+    "settings.yaml": settingsSchema,
+} as const;
+export type FileName = keyof typeof schemas;
+export const fileNames = Object.keys(schemas) as readonly FileName[];
+
+/** Fields of the objects at each depth of a file, for the message about an unknown field. */
+const VALID_FIELDS: Readonly<Record<FileName, readonly (readonly string[])[]>> = {
+    "kinds.yaml": [["kinds"], [], Object.keys(kindSchema.entries)],
+    "services.yaml": [["services"], [], Object.keys(serviceSchema.entries)],
+    "settings.yaml": [Object.keys(settingsSchema.entries), [], Object.keys(replacedServiceSchema.entries)],
+};
+
+/** What would be valid, by the name of the field. */
+const VALID_VALUES: Readonly<Record<string, string>> = {
+    kinds: "a list of at least one kind",
+    services: "a list of at least one service",
+    name: "a text of 1 to 256 characters",
+    priority: "a whole number from 0 (refused last) to 7",
+    worth: "a number from 0 (not counted)",
+    nonIdempotent: "true or false",
+    retries: "a whole number from 0 to 100",
+    deadlineMs: "a number of milliseconds from 1 to 3600000",
+    external: "true or false",
+    defaultKind: "the name of a kind",
+    calls: "a list of names of services, such as [] or [booking]",
+    connections: "a whole number from 1",
+    slots: "a whole number from 1",
+    format: String(FILE_FORMAT),
+    resendHorizonMs: "a number of milliseconds from 1000 to 86400000",
+    replacedServices: "a list of {service, viewVersion}",
+    service: "the name of a service",
+    viewVersion: "a whole number from 0",
+};
 
-/** Reads a file set; `directory` holds the three files. */
+/** Reads a file set. All issues are reported at once. */
 export function safeReadFileSet(directory: string): ParseResult<Configuration> {
-    const kinds = readYaml(directory, "kinds.yaml", kindsSchema);
-    const services = readYaml(directory, "services.yaml", servicesSchema);
-    const settings = readYaml(directory, "settings.yaml", settingsSchema);
-    if (!kinds.success || !services.success || !settings.success) {
-        return {
-            success: false,
-            issues: [kinds, services, settings].flatMap(part => part.success ? [] : part.issues),
-        };
+    let names: readonly string[];
+    try {
+        names = readdirSync(directory);
     }
+    catch (err) {
+        const message = `not a readable directory (${messageOf(err)}); give one with ${fileNames.join(", ")}`;
+        return { success: false, issues: [{ code: "directory", path: [directory], message }] };
+    }
+    const stray = names.filter(name =>
+        /\.ya?ml$/.test(name) && !(fileNames as readonly string[]).includes(name)
+    )
+        .map(name => issueAt(name, "file", `not part of a file set; valid: ${fileNames.join(", ")}`));
+    const files = {
+        kinds: YamlFile.read(directory, "kinds.yaml"),
+        services: YamlFile.read(directory, "services.yaml"),
+        settings: YamlFile.read(directory, "settings.yaml"),
+    };
+    const issues = [
+        ...stray,
+        ...Object.values(files).flatMap(file => file.issues),
+        ...crossCheck({
+            kinds: files.kinds.items("kinds", kindSchema),
+            services: files.services.items("services", serviceSchema),
+            replacedServices: files.settings.items("replacedServices", replacedServiceSchema),
+            resendHorizonMs: resendHorizonOf(files.settings),
+        }).map(({ file, path, code, message }) =>
+            issueAt(`${file}:${fileOf(files, file).lineOf(path)}`, code, message)
+        ),
+    ];
+    if (issues.length > 0) return { success: false, issues };
+    const settings = v.parse(settingsSchema, files.settings.value);
     const configuration: Configuration = {
-        kinds: kinds.value.kinds,
-        services: services.value.services,
-        resendHorizonMs: settings.value.resendHorizonMs,
-        replacedServices: settings.value.replacedServices,
+        kinds: v.parse(schemas["kinds.yaml"], files.kinds.value).kinds,
+        services: v.parse(schemas["services.yaml"], files.services.value).services,
+        resendHorizonMs: settings.resendHorizonMs,
+        replacedServices: settings.replacedServices,
     };
     return { success: true, value: configuration };
 }
@@ -54,42 +114,129 @@
     return result.value;
 }
 
-function readYaml<TSchema extends v.GenericSchema>(
-    directory: string,
-    file: string,
-    schema: TSchema,
-): ParseResult<v.InferOutput<TSchema>> {
-    let text: string;
-    try {
-        text = readFileSync(join(directory, file), "utf8");
+/** The texts of the files that give a configuration, in one normal form: fields in the order of the schemas. */
+export function renderFileSet(configuration: Configuration): Readonly<Record<FileName, string>> {
+    const { kinds, services, resendHorizonMs, replacedServices } = configuration;
+    const render = (value: object) => stringify(value, { indent: 4, flowCollectionPadding: false });
+    return {
+        "kinds.yaml": render({ kinds: kinds.map(kind => inOrder(kind, kindSchema)) }),
+        "services.yaml": render({ services: services.map(service => inOrder(service, serviceSchema)) }),
+        "settings.yaml": render({
+            format: FILE_FORMAT,
+            resendHorizonMs,
+            ...(replacedServices.length === 0 ? {} : { replacedServices }),
+        }),
+    };
+}
+
+function inOrder(value: Kind | Service, schema: { readonly entries: object; }): object {
+    const fields = new Map<string, unknown>(Object.entries(value));
+    const names = Object.keys(schema.entries).filter(name => fields.get(name) !== undefined);
+    return Object.fromEntries(names.map(name => [name, fields.get(name)]));
+}
+
+function issueAt(place: string, code: string, message: string): Issue {
+    return { code, path: [place], message };
+}
+
+function resendHorizonOf(file: YamlFile): number | undefined {
+    const value = (file.value as { resendHorizonMs?: unknown; } | undefined)?.resendHorizonMs;
+    if (value === undefined) return DEFAULT_RESEND_HORIZON_MS;
+    return typeof value === "number" ? value : undefined;
+}
+
+function fileOf(files: Readonly<Record<string, YamlFile>>, name: FileName): YamlFile {
+    return Object.values(files).find(file => file.name === name)!;
+}
+
+/** An item of a list in a file that is valid by itself, with its place in the list. */
+export interface Item<T> {
+    readonly index: number;
+    readonly value: T;
+}
+
+/** One parsed file; a file that cannot be read or parsed has issues and no value. */
+class YamlFile {
+    readonly name: FileName;
+    readonly value: unknown;
+    readonly issues: readonly Issue[];
+    private readonly doc: Document | undefined;
+    private readonly lines = new LineCounter();
+
+    private constructor(name: FileName, text: string | Issue) {
+        this.name = name;
+        if (typeof text !== "string") {
+            this.issues = [text];
+            return;
+        }
+        const doc = parseDocument(text, { lineCounter: this.lines });
+        if (doc.errors.length > 0) {
+            this.issues = doc.errors.map(err =>
+                issueAt(`${name}:${err.linePos?.[0].line ?? 1}`, "yaml", err.message.split("\n")[0]!)
+            );
+            return;
+        }
+        this.doc = doc;
+        try {
+            this.value = doc.toJS();
+        }
+        catch (err) {
+            // An alias that expands without bound is refused by the YAML library.
+            this.issues = [issueAt(`${name}:1`, "yaml", messageOf(err))];
+            return;
+        }
+        const result = v.safeParse(schemas[name], this.value);
+        this.issues = (result.issues ?? []).map(issue => this.describe(issue));
     }
-    catch (err) {
-        return { success: false, issues: [{ code: "file", path: [file], message: messageOf(err) }] };
+
+    static read(directory: string, name: FileName): YamlFile {
+        try {
+            return new YamlFile(name, readFileSync(join(directory, name), "utf8"));
+        }
+        catch (err) {
+            return new YamlFile(name, issueAt(name, "file", `cannot be read: ${messageOf(err)}`));
+        }
+    }
+
+    /** The valid items of a list; those that are not valid have issues of their own. */
+    items<TSchema extends v.GenericSchema>(
+        list: string,
+        schema: TSchema,
+    ): readonly Item<v.InferOutput<TSchema>>[] {
+        const values = (this.value as Record<string, unknown> | undefined | null)?.[list];
+        if (!Array.isArray(values)) return [];
+        return values.flatMap((value, index) => {
+            const result = v.safeParse(schema, value);
+            return result.success ? [{ index, value: result.output }] : [];
+        });
     }
-    const lineCounter = new LineCounter();
-    const doc = parseDocument(text, { lineCounter });
-    if (doc.errors.length > 0) {
-        const issues = doc.errors.map(err => ({
-            code: "yaml",
-            path: [`${file}:${err.linePos?.[0].line ?? 1}`],
-            message: err.message.split("\n")[0]!,
-        }));
-        return { success: false, issues };
+
+    /** Line of the nearest node on the way to a field. */
+    lineOf(path: readonly (string | number)[]): number {
+        for (let length = path.length; length > 0; length--) {
+            const node = this.doc?.getIn(path.slice(0, length), true) as { range?: [number]; } | undefined;
+            if (node?.range !== undefined) return this.lines.linePos(node.range[0]).line;
+        }
+        return 1;
     }
-    const parsed = safeParse(schema, doc.toJS());
-    if (parsed.success) return parsed;
-    return { success: false, issues: parsed.issues.map(issue => withLine(issue, file, doc, lineCounter)) };
-}
 
-/** Puts the file and line of the nearest node that exists before the path of an issue. */
-function withLine(issue: Issue, file: string, doc: Document, lineCounter: LineCounter): Issue {
-    for (let length = issue.path.length; length >= 0; length--) {
-        const node = doc.getIn(issue.path.slice(0, length), true) as
-            | { range?: [number, number, number]; }
-            | undefined;
-        if (node?.range !== undefined) {
-            return { ...issue, path: [`${file}:${lineCounter.linePos(node.range[0]).line}`, ...issue.path] };
+    private describe(issue: v.BaseIssue<unknown>): Issue {
+        const path = issue.path?.map(item => item.key as string | number) ?? [];
+        const place = `${this.name}:${this.lineOf(path)}`;
+        const shown = path.map((key, index) =>
+            typeof key === "number" ? `[${key}]` : index === 0 ? key : `.${key}`
+        ).join("");
+        const field = path.findLast(key => typeof key === "string");
+        if (issue.type === "strict_object" && issue.expected === "never") {
+            const valid = VALID_FIELDS[this.name][path.length - 1] ?? [];
+            return issueAt(place, "unknown-field", `${shown}: unknown field; valid: ${valid.join(", ")}`);
         }
+        const valid = typeof path.at(-1) === "number" && field !== "calls"
+            ? `an object with ${(VALID_FIELDS[this.name][path.length] ?? []).join(", ")}`
+            : VALID_VALUES[String(field)] ?? `an object with ${VALID_FIELDS[this.name][0]!.join(", ")}`;
+        if (issue.input === undefined) return issueAt(place, "missing", `${shown}: missing; give ${valid}`);
+        const received = typeof issue.input === "object" ? issue.received : JSON.stringify(issue.input);
+        const prefix = shown === "" ? "" : `${shown}: `;
+        return issueAt(place, "invalid", `${prefix}${received} is not valid; give ${valid}`);
     }
-    return { ...issue, path: [`${file}:1`, ...issue.path] };
 }
--- a/src/schemas.ts
+++ b/src/schemas.ts
@@ -32,6 +32,7 @@
     defaultKind: text,
     calls: v.array(text),
     connections: v.pipe(v.number(), v.integer(), v.minValue(1)),
+    slots: v.optional(v.pipe(v.number(), v.integer(), v.minValue(1))),
 });
 
 export const configurationSchema = v.strictObject({
--- a/src/types.ts
+++ b/src/types.ts
@@ -45,6 +45,8 @@
     readonly calls: readonly string[];
     /** Connections that one target accepts. */
     readonly connections: number;
+    /** Requests that one target works on at once, as a hint. */
+    readonly slots?: number | undefined;
 }
 
 /** An operator's statement that the voters of a view are gone for good. */
