--- a/src/standins/logService.ts
+++ b/src/standins/logService.ts
@@ -16,8 +16,8 @@
     outage: v.optional(v.boolean()),
     /** Delay of every answer. */
     slowMs: v.optional(v.pipe(v.number(), v.minValue(0))),
-    /** Store appends but break the connection before the answer. */
-    loseAnswers: v.optional(v.boolean()),
+    /** Store appends but break the connection before the answer: every one, or the next N. */
+    loseAnswers: v.optional(v.union([v.boolean(), v.pipe(v.number(), v.integer(), v.minValue(0))])),
 });
 
 const querySchema = v.object({
@@ -42,7 +42,9 @@
 export interface LogServiceOptions {
     readonly address: Address;
     /** Records older than this are dropped. */
-    readonly retentionMs?: number;
+    readonly retentionMs?: number | undefined;
+    /** Older records than this many are dropped. */
+    readonly retentionRecords?: number | undefined;
 }
 
 export class LogService {
@@ -69,12 +71,26 @@
     }
 
     async stop(): Promise<void> {
-        for (const stream of this.streams.values()) stream.waiters.forEach(wake => wake());
+        this.wakeAll();
         await this.app.close();
     }
 
+    /** Sets all faults; those that are left out end. An outage also ends the long polls that are open. */
     setFaults(faults: Faults): void {
         this.faults = faults;
+        if (faults.outage === true) this.wakeAll();
+    }
+
+    private wakeAll(): void {
+        for (const stream of this.streams.values()) stream.waiters.forEach(wake => wake());
+    }
+
+    private takeLostAnswer(): boolean {
+        const { loseAnswers } = this.faults;
+        if (typeof loseAnswers !== "number") return loseAnswers === true;
+        if (loseAnswers === 0) return false;
+        this.faults = { ...this.faults, loseAnswers: loseAnswers - 1 };
+        return true;
     }
 
     private addRoutes(): void {
@@ -84,7 +100,7 @@
             stream.records.push({ record: req.body, at: Date.now() });
             this.appends++;
             stream.waiters.forEach(wake => wake());
-            if (this.faults.loseAnswers === true) {
+            if (this.takeLostAnswer()) {
                 req.raw.destroy();
                 return reply.hijack();
             }
@@ -97,6 +113,7 @@
             this.reads++;
             const { from, wait, max } = query.value;
             if (from >= this.tailOf(stream)) await this.waitForRecord(stream, Math.min(wait, WAIT_LIMIT_MS));
+            if (this.faults.outage === true) return reply.code(503).send({ error: "outage" });
             this.expire(stream);
             const tail = this.tailOf(stream);
             if (from < stream.first) return reply.code(410).send({ first: stream.first, next: tail });
@@ -108,7 +125,7 @@
         this.app.post("/faults", async (req, reply) => {
             const faults = safeParse(faultsSchema, req.body, ["faults"]);
             if (!faults.success) return reply.code(400).send({ issues: faults.issues });
-            this.faults = faults.value;
+            this.setFaults(faults.value);
             return faults.value;
         });
     }
@@ -127,10 +144,11 @@
     }
 
     private expire(stream: Stream): void {
-        const { retentionMs } = this.opts;
-        if (retentionMs === undefined) return;
-        while (stream.records.length > 0 && stream.records[0]!.at < Date.now() - retentionMs) {
-            stream.records.shift();
+        const { retentionMs = Infinity, retentionRecords = Infinity } = this.opts;
+        const { records } = stream;
+        const oldest = Date.now() - retentionMs;
+        while (records.length > retentionRecords || (records.length > 0 && records[0]!.at < oldest)) {
+            records.shift();
             stream.first++;
         }
     }
