Add diff, apply that waits for the nodes, status of all nodes, and the dev demonstration

Cause: apply gave up at the first lost answer and never looked at the nodes; unknown flags were ignored. Change: apply sends the record again with the same id until the log shows it, reports "accepted" when a node has the version in memory, and names the nodes that lag; `--base` makes a race explicit. diff shows the changes per name and as text. status reads every member of the views. Reading starts from a checkpoint or a node's state when records have expired. dev shows a call, a change and a race. Wrong flags and commands end with one line. Conclusion: operators see whether a change is in force and who was first.

--- /dev/null
+++ b/src/commands/apply.ts
@@ -0,0 +1,48 @@
+/** `filbertspool apply`: publishes a file set as a whole and waits until it is in force. */
+import { userInfo } from "node:os";
+import { readFileSet } from "../files.ts";
+import { LogClient } from "../logClient.ts";
+import type { Print } from "../publish.ts";
+import { publish } from "../publish.ts";
+import type { Environment, Flags } from "../settings.ts";
+import { readUrl, SettingsReader } from "../settings.ts";
+import { checkFlags, LOG_URL, readCount, readNodes, readPositive } from "./flags.ts";
+
+const DEFAULT_TIMEOUT_S = 30;
+const AUTHOR_LIMIT = 256;
+
+export async function runApply(
+    directory: string,
+    flags: Flags,
+    env: Environment,
+    print: Print,
+): Promise<void> {
+    const reader = new SettingsReader(flags, env);
+    const logUrl = reader.required("log-url", readUrl, LOG_URL);
+    const nodes = readNodes(reader);
+    const base = reader.optional("base", readCount, "the number of a version, 0 for none");
+    const timeoutS = reader.optional("timeout-s", readPositive, "a number of seconds over 0")
+        ?? DEFAULT_TIMEOUT_S;
+    const author = reader.optional(
+        "author",
+        text => text.length > 0 && text.length <= AUTHOR_LIMIT ? text : undefined,
+        `a text of 1 to ${AUTHOR_LIMIT} characters`,
+    );
+    checkFlags(reader);
+    const configuration = readFileSet(directory);
+    const log = new LogClient(logUrl!);
+    try {
+        await publish({
+            log,
+            configuration,
+            author: author ?? userInfo().username,
+            base,
+            nodes,
+            timeoutMs: timeoutS * 1_000,
+            print,
+        });
+    }
+    finally {
+        await log.close();
+    }
+}
--- a/src/commands/dev.ts
+++ b/src/commands/dev.ts
@@ -1,16 +1,32 @@
-/** `filbertspool dev`: log service, targets and nodes in one process on loopback, a call and a changed file set. */
-import { randomUUID } from "node:crypto";
+/**
+ * `filbertspool dev`: a small deployment in one process on loopback that a newcomer watches: a call through three
+ * services, a changed file set that takes effect, and two operators who race.
+ */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { request } from "undici";
+import { CommandError, messageOf } from "../errors.ts";
+import { readFileSet, renderFileSet } from "../files.ts";
 import { LogClient } from "../logClient.ts";
-import { NO_BASE } from "../logRecords.ts";
+import { readNodeStatuses } from "../nodeStatus.ts";
+import type { Print } from "../publish.ts";
+import { publish } from "../publish.ts";
 import { NodeRuntime } from "../runtime.ts";
+import type { Environment, Flags } from "../settings.ts";
+import { SettingsReader } from "../settings.ts";
 import { LogService } from "../standins/logService.ts";
 import { Target } from "../standins/target.ts";
 import type { Address, Configuration } from "../types.ts";
+import { formatAddress } from "../types.ts";
+import { checkFlags, readCount } from "./flags.ts";
 
-const FIRST_PORT = 17_900;
 const HOST = "127.0.0.1";
 const POLL_MS = 100;
+const START_LIMIT_MS = 30_000;
+const APPLY_LIMIT_MS = 30_000;
 
 const CHAIN = [
     { service: "calendar", calls: ["booking"] },
@@ -18,20 +34,145 @@
     { service: "gallery", calls: [] },
 ] as const;
 
-function createConfiguration(retries: number): Configuration {
+interface DevNode {
+    readonly service: string;
+    readonly entry: Address;
+    readonly peer: Address;
+    readonly egress: Address;
+    readonly runtime: NodeRuntime;
+    readonly target: Target;
+}
+
+interface Deployment {
+    readonly log: LogClient;
+    readonly logUrl: string;
+    readonly nodes: readonly DevNode[];
+    readonly stop: () => Promise<void>;
+}
+
+export async function runDev(flags: Flags, env: Environment, print: Print): Promise<void> {
+    const reader = new SettingsReader(flags, env);
+    const port = reader.optional(
+        "port",
+        text => {
+            const first = readCount(text);
+            return first !== undefined && first >= 1 && first <= 65_000 ? first : undefined;
+        },
+        "a port from 1 to 65000",
+    );
+    checkFlags(reader);
+    const signalled = new Promise<void>(resolve => {
+        for (const signal of ["SIGINT", "SIGTERM"] as const) process.once(signal, resolve);
+    });
+    const deployment = await startDeployment(print, port);
+    const directory = mkdtempSync(join(tmpdir(), "filbertspool-dev-"));
+    try {
+        await Promise.race([demonstrate(deployment, directory, print), signalled]);
+        if (flags["once"] !== true) await signalled;
+    }
+    finally {
+        await deployment.stop();
+        rmSync(directory, { recursive: true });
+    }
+}
+
+async function startDeployment(print: Print, firstPort: number | undefined): Promise<Deployment> {
+    let used = 0;
+    const nextAddress = async (): Promise<Address> => ({
+        host: HOST,
+        port: firstPort === undefined ? await freePort() : firstPort + used++,
+    });
+    const logAddress = await nextAddress();
+    const logService = new LogService({ address: logAddress });
+    await logService.start();
+    const logUrl = `http://${formatAddress(logAddress)}`;
+    print(`log service (stand-in) at ${logUrl}`);
+    const nodes: DevNode[] = [];
+    for (const { service, calls } of CHAIN) {
+        const [entry, peer, egress, address] = [
+            await nextAddress(),
+            await nextAddress(),
+            await nextAddress(),
+            await nextAddress(),
+        ];
+        const settings = { service, dataCentre: "dev", entry, peer, egress, logUrl, join: [] };
+        const runtime = new NodeRuntime({ settings, onExit: () => undefined });
+        await runtime.start();
+        const target = new Target({ service, address, egress, calls });
+        await target.start();
+        nodes.push({ service, entry, peer, egress, runtime, target });
+        print(
+            `${service}: node with entry ${formatAddress(entry)} and peer ${formatAddress(peer)}, `
+                + `target (stand-in) ${formatAddress(address)}${
+                    calls.length === 0 ? "" : `, calls ${calls.join()}`
+                }`,
+        );
+    }
+    const log = new LogClient(logUrl);
+    const stop = async () => {
+        await log.close();
+        await Promise.all(nodes.map(node => node.target.stop()));
+        await Promise.all(nodes.map(node => node.runtime.stop()));
+        await logService.stop();
+    };
+    return { log, logUrl, nodes, stop };
+}
+
+async function demonstrate(deployment: Deployment, directory: string, print: Print): Promise<void> {
+    const { logUrl, nodes } = deployment;
+    print(`\n1. A file set is applied: ${directory}`);
+    writeFileSet(directory, createConfiguration(true));
+    await applyAs(deployment, directory, "dev", print);
+    await untilJoined(nodes);
+
+    print("\n2. A booking crosses three services, with one run each.");
+    const entry = nodes[0]!.entry;
+    const booked = await callEntry(entry, "book", "booking-1");
+    print(`POST http://${formatAddress(entry)}/launches/7, kind book: ${booked}`);
+    print(`runs: ${runsOf(nodes)}`);
+    print(
+        `the same booking again, with the same idempotency key: ${await callEntry(
+            entry,
+            "book",
+            "booking-1",
+        )}`,
+    );
+    print(`runs: ${runsOf(nodes)}`);
+    print(`kind browse: ${await callEntry(entry, "browse")}`);
+
+    print("\n3. The file set is changed: callers outside may no longer browse (external: false).");
+    writeFileSet(directory, createConfiguration(false));
+    await applyAs(deployment, directory, "dev", print);
+    print(`kind browse: ${await callEntry(entry, "browse")}`);
+    print(`kind book: ${await callEntry(entry, "book", "booking-2")}`);
+
+    print("\n4. Two operators apply different changes at the same time.");
+    await race(deployment, print);
+
+    print("\nTry it:");
+    print(`    curl -X POST -H 'baggage: fp.kind=book' http://${formatAddress(entry)}/launches/7`);
+    print(`    filbertspool status --node ${formatAddress(nodes[0]!.peer)}`);
+    print(`    edit ${directory}/kinds.yaml, then: filbertspool diff ${directory} --log-url ${logUrl}`);
+    print(`    filbertspool apply ${directory} --log-url ${logUrl}`);
+}
+
+function createConfiguration(externalBrowse: boolean, retries = 2): Configuration {
+    const kind = { retries, deadlineMs: 2_000 };
     return {
-        kinds: [{
-            name: "book",
-            priority: 0,
-            worth: 100,
-            nonIdempotent: true,
-            retries,
-            deadlineMs: 2_000,
-            external: true,
-        }],
+        kinds: [
+            { name: "book", priority: 0, worth: 100, nonIdempotent: true, external: true, ...kind },
+            {
+                name: "browse",
+                priority: 6,
+                worth: 1,
+                nonIdempotent: false,
+                external: externalBrowse,
+                ...kind,
+            },
+        ],
         services: CHAIN.map(({ service, calls }) => ({
             name: service,
-            defaultKind: "book",
+            defaultKind: "browse",
             calls,
             connections: 64,
         })),
@@ -40,46 +181,93 @@
     };
 }
 
-export async function runDev(print: (line: string) => void): Promise<void> {
-    let port = FIRST_PORT;
-    const nextAddress = (): Address => ({ host: HOST, port: port++ });
-    const logAddress = nextAddress();
-    const logService = new LogService({ address: logAddress });
-    await logService.start();
-    const logUrl = `http://${HOST}:${logAddress.port}`;
-    const nodes: NodeRuntime[] = [];
-    const targets: Target[] = [];
-    const entries: Address[] = [];
-    for (const { service, calls } of CHAIN) {
-        const [entry, peer, egress, address] = [nextAddress(), nextAddress(), nextAddress(), nextAddress()];
-        const settings = { service, dataCentre: "dev", entry, peer, egress, logUrl, join: [] };
-        const node = new NodeRuntime({ settings, onExit: () => undefined });
-        await node.start();
-        const target = new Target({ service, address, egress, calls });
-        await target.start();
-        nodes.push(node);
-        targets.push(target);
-        entries.push(entry);
+function writeFileSet(directory: string, configuration: Configuration): void {
+    for (const [file, text] of Object.entries(renderFileSet(configuration))) {
+        writeFileSync(join(directory, file), text);
     }
-    const log = new LogClient(logUrl);
-    const id = randomUUID();
-    await log.append({
-        type: "config",
-        id,
-        base: NO_BASE,
-        author: "dev",
-        configuration: createConfiguration(2),
+}
+
+function applyAs(
+    { log, nodes }: Deployment,
+    directory: string,
+    author: string,
+    print: Print,
+): Promise<number> {
+    return publish({
+        log,
+        configuration: readFileSet(directory),
+        author,
+        nodes: nodes.map(node => node.peer),
+        timeoutMs: APPLY_LIMIT_MS,
+        print,
+    });
+}
+
+async function race({ log, nodes }: Deployment, print: Print): Promise<void> {
+    const base =
+        (await readNodeStatuses([nodes[0]!.peer])).map(answer =>
+            answer.success ? answer.status.config?.number : undefined
+        )[0];
+    const racers = [{ author: "anna", retries: 1 }, { author: "ben", retries: 3 }];
+    const results = await Promise.allSettled(racers.map(({ author, retries }) =>
+        publish({
+            log,
+            configuration: createConfiguration(false, retries),
+            author,
+            base,
+            nodes: nodes.map(node => node.peer),
+            timeoutMs: APPLY_LIMIT_MS,
+            print: () => undefined,
+        })
+    ));
+    results.forEach((result, index) => {
+        const { author } = racers[index]!;
+        print(
+            `${author}: ${
+                result.status === "fulfilled"
+                    ? `version ${result.value} is in force`
+                    : messageOf(result.reason)
+            }`,
+        );
+    });
+}
+
+async function callEntry(entry: Address, kind: string, key?: string): Promise<string> {
+    const response = await request(`http://${formatAddress(entry)}/launches/7`, {
+        method: "POST",
+        headers: {
+            baggage: `fp.kind=${kind}`,
+            ...(key === undefined ? {} : { "idempotency-key": key }),
+        },
     });
-    const url = `http://${HOST}:${entries[0]!.port}/launches/7`;
-    for (;;) {
-        const res = await request(url, { method: "POST", body: "seat=1" });
-        const body = await res.body.text();
-        print(`${res.statusCode} ${body}`);
-        if (res.statusCode === 200) break;
+    return `${response.statusCode} ${await response.body.text()}`;
+}
+
+function runsOf(nodes: readonly DevNode[]): string {
+    return nodes.map(node => `${node.service} ${node.target.runs.length}`).join(", ");
+}
+
+/** Waits until every node has read that each service has a member. */
+async function untilJoined(nodes: readonly DevNode[]): Promise<void> {
+    for (const startedAt = performance.now(); performance.now() < startedAt + START_LIMIT_MS;) {
+        const answers = await readNodeStatuses(nodes.map(node => node.peer));
+        const joined = answers.every(answer =>
+            answer.success && CHAIN.every(({ service }) => answer.status.views[service] !== undefined)
+        );
+        if (joined) return;
         await new Promise(resolve => setTimeout(resolve, POLL_MS));
     }
-    await log.close();
-    await Promise.all(targets.map(target => target.stop()));
-    await Promise.all(nodes.map(node => node.stop()));
-    await logService.stop();
+    const message = `the targets did not join within ${START_LIMIT_MS / 1_000} s`;
+    throw new CommandError([{ code: "start", path: [], message }]);
+}
+
+function freePort(): Promise<number> {
+    return new Promise((resolve, reject) => {
+        const server = createServer();
+        server.once("error", reject);
+        server.listen(0, HOST, () => {
+            const { port } = server.address() as AddressInfo;
+            server.close(() => resolve(port));
+        });
+    });
 }
--- /dev/null
+++ b/src/commands/diff.ts
@@ -0,0 +1,61 @@
+/** `filbertspool diff`: what a file set would change. */
+import { diffConfigurations } from "../configDiff.ts";
+import { ControlReader, readNodeState } from "../controlReader.ts";
+import { CommandError } from "../errors.ts";
+import { readFileSet } from "../files.ts";
+import { LogClient } from "../logClient.ts";
+import type { Print } from "../publish.ts";
+import type { Environment, Flags } from "../settings.ts";
+import { SettingsReader } from "../settings.ts";
+import type { Address, ConfigVersion } from "../types.ts";
+import { formatAddress } from "../types.ts";
+import { checkFlags, readLogUrl, readNodes, requireSource } from "./flags.ts";
+
+export async function runDiff(
+    directory: string,
+    flags: Flags,
+    env: Environment,
+    print: Print,
+): Promise<void> {
+    const reader = new SettingsReader(flags, env);
+    const logUrl = readLogUrl(reader);
+    const nodes = readNodes(reader);
+    checkFlags(reader);
+    requireSource(logUrl, nodes);
+    const configuration = readFileSet(directory);
+    const current = logUrl === undefined ? await readFromNodes(nodes) : await readFromLog(logUrl, nodes);
+    const version = current === undefined ? "no version" : `version ${current.number} of ${current.author}`;
+    const labels = { before: version, after: directory };
+    const changes = diffConfigurations(current?.configuration, configuration, labels);
+    if (changes.length === 0) return print(`no change against ${version}`);
+    for (const { file, changes: lines } of changes) {
+        print(`${file}:`);
+        for (const line of lines) print(`    ${line}`);
+    }
+    for (const { patch } of changes) print(`\n${patch.trimEnd()}`);
+    print(`\nagainst ${version}; to publish: filbertspool apply ${directory} --base ${current?.number ?? 0}`);
+}
+
+async function readFromLog(url: string, nodes: readonly Address[]): Promise<ConfigVersion | undefined> {
+    const log = new LogClient(url);
+    try {
+        return (await new ControlReader(log, nodes).readToTail()).config;
+    }
+    finally {
+        await log.close();
+    }
+}
+
+/** The highest version that one of the nodes has. */
+async function readFromNodes(nodes: readonly Address[]): Promise<ConfigVersion | undefined> {
+    const states = await Promise.all(nodes.map(readNodeState));
+    const silent = nodes.filter((_, index) => states[index] === undefined);
+    if (silent.length > 0) {
+        throw new CommandError(silent.map(node => ({
+            code: "unreachable",
+            path: [formatAddress(node)],
+            message: "no answer to control.state",
+        })));
+    }
+    return states.flatMap(state => state?.config ?? []).sort((a, b) => b.number - a.number)[0];
+}
--- /dev/null
+++ b/src/commands/flags.ts
@@ -0,0 +1,37 @@
+/** Flags that several commands share. */
+import { CommandError, SettingsError } from "../errors.ts";
+import type { SettingsReader } from "../settings.ts";
+import { readAddresses, readUrl } from "../settings.ts";
+import type { Address } from "../types.ts";
+
+export const LOG_URL = "a URL such as http://127.0.0.1:7900";
+const NODES = "peer addresses of nodes such as 127.0.0.1:7000,127.0.0.1:7010";
+
+export function readCount(text: string): number | undefined {
+    return /^\d{1,15}$/.test(text) ? Number(text) : undefined;
+}
+
+export function readPositive(text: string): number | undefined {
+    const value = /^\d{1,9}(\.\d{1,9})?$/.test(text) ? Number(text) : 0;
+    return value > 0 ? value : undefined;
+}
+
+export function readNodes(reader: SettingsReader): readonly Address[] {
+    return reader.optional("node", readAddresses, NODES) ?? [];
+}
+
+export function readLogUrl(reader: SettingsReader): string | undefined {
+    return reader.optional("log-url", readUrl, LOG_URL);
+}
+
+/** Throws when a flag was wrong. */
+export function checkFlags(reader: SettingsReader): void {
+    if (reader.issues.length > 0) throw new SettingsError(reader.issues);
+}
+
+/** Throws when neither the log nor a node is given to read from. */
+export function requireSource(logUrl: string | undefined, nodes: readonly Address[]): void {
+    if (logUrl !== undefined || nodes.length > 0) return;
+    const message = `missing; give --log-url with ${LOG_URL}, or --node with ${NODES}`;
+    throw new CommandError([{ code: "missing", path: ["--log-url"], message }]);
+}
--- a/src/commands/standins.ts
+++ b/src/commands/standins.ts
@@ -1,37 +1,36 @@
-/** `filbertspool standin-log` and `filbertspool standin-target`: stand-ins for the platform, for tests and trials. */
-import { SettingsError } from "../errors.ts";
+/** Stand-ins for the platform, targets and callers, for tests and trials. */
+import type { Print } from "../publish.ts";
 import type { Environment, Flags } from "../settings.ts";
-import { readAddress, readName, SettingsReader } from "../settings.ts";
+import { readAddress, readAddresses, readName, SettingsReader } from "../settings.ts";
+import { Caller } from "../standins/caller.ts";
 import { LogService } from "../standins/logService.ts";
 import { Target } from "../standins/target.ts";
+import { formatAddress } from "../types.ts";
+import { checkFlags, readCount, readPositive } from "./flags.ts";
 
 const ADDRESS = "an address such as 127.0.0.1:7900";
+const COUNT = "a whole number";
+const MILLISECONDS = "a whole number of milliseconds";
 
-function readCount(text: string): number | undefined {
-    return /^\d+$/.test(text) ? Number(text) : undefined;
-}
-
-export async function runStandinLog(flags: Flags, env: Environment): Promise<void> {
+export async function runStandinLog(flags: Flags, env: Environment, print: Print): Promise<void> {
     const reader = new SettingsReader(flags, env);
-    const address = reader.required("listen", readAddress, ADDRESS);
-    const retentionMs = reader.optional("retention-ms", readCount, "a number of milliseconds");
-    if (address === undefined || reader.issues.length > 0) throw new SettingsError(reader.issues);
-    const service = new LogService({ address, ...(retentionMs === undefined ? {} : { retentionMs }) });
-    await service.start();
+    const address = reader.required("listen", readAddress, ADDRESS)!;
+    const retentionMs = reader.optional("retention-ms", readCount, MILLISECONDS);
+    const retentionRecords = reader.optional("retention-records", readCount, COUNT);
+    checkFlags(reader);
+    await new LogService({ address, retentionMs, retentionRecords }).start();
+    print(`log service at http://${formatAddress(address)}; faults: POST /faults`);
 }
 
 export async function runStandinTarget(flags: Flags, env: Environment): Promise<void> {
     const reader = new SettingsReader(flags, env);
-    const service = reader.required("service", readName, "a service name");
-    const address = reader.required("listen", readAddress, ADDRESS);
-    const egress = reader.required("egress", readAddress, ADDRESS);
-    const slots = reader.optional("slots", readCount, "a number of slots");
-    const serviceMs = reader.optional("service-ms", readCount, "a number of milliseconds");
-    const calls = reader.optional("calls", text => text.split(","), "service names separated by commas")
-        ?? [];
-    if (service === undefined || address === undefined || egress === undefined || reader.issues.length > 0) {
-        throw new SettingsError(reader.issues);
-    }
+    const service = reader.required("service", readName, "a service name")!;
+    const address = reader.required("listen", readAddress, ADDRESS)!;
+    const egress = reader.required("egress", readAddress, ADDRESS)!;
+    const slots = reader.optional("slots", readCount, COUNT);
+    const serviceMs = reader.optional("service-ms", readCount, MILLISECONDS);
+    const calls = reader.optional("calls", readNames, "service names separated by commas") ?? [];
+    checkFlags(reader);
     const target = new Target({
         service,
         address,
@@ -42,3 +41,48 @@
     });
     await target.start();
 }
+
+export async function runStandinCaller(flags: Flags, env: Environment, print: Print): Promise<void> {
+    const reader = new SettingsReader(flags, env);
+    const entries = reader.required("entry", readEntries, "entry listeners separated by commas")!;
+    const kind = reader.optional("kind", readName, "the name of a kind");
+    const path = reader.optional(
+        "path",
+        text => /^\/\S*$/.test(text) ? text : undefined,
+        "a path such as /x",
+    );
+    const ratePerS = reader.optional("rate", readPositive, "a number of requests a second over 0") ?? 10;
+    const durationS = reader.optional("duration-s", readPositive, "a number of seconds over 0");
+    const resends = reader.optional("resends", readCount, COUNT) ?? 2;
+    const backoffMs = reader.optional("backoff-ms", readCount, MILLISECONDS) ?? 200;
+    checkFlags(reader);
+    const keys = flags["keys"] === true;
+    const caller = new Caller({ entries, kind, path: path ?? "/", ratePerS, resends, backoffMs, keys });
+    caller.start();
+    await untilSignal(durationS);
+    await caller.stop();
+    for (const [outcome, count] of Object.entries(caller.outcomes())) print(`${outcome} ${count}`);
+}
+
+/** Resolves at the first SIGINT or SIGTERM, or after the time if it is given. */
+function untilSignal(seconds?: number): Promise<void> {
+    return new Promise(resolve => {
+        const timer = setTimeout(resolve, seconds === undefined ? 2 ** 31 - 1 : seconds * 1_000);
+        for (const signal of ["SIGINT", "SIGTERM"] as const) {
+            process.once(signal, () => {
+                clearTimeout(timer);
+                resolve();
+            });
+        }
+    });
+}
+
+function readEntries(text: string): ReturnType<typeof readAddresses> {
+    const entries = readAddresses(text);
+    return entries?.length === 0 ? undefined : entries;
+}
+
+function readNames(text: string): readonly string[] | undefined {
+    const names = text.split(",").filter(name => name !== "").map(readName);
+    return names.every(name => name !== undefined) ? names : undefined;
+}
--- /dev/null
+++ b/src/controlReader.ts
@@ -0,0 +1,100 @@
+/** Reads the control log for the commands of operators: the replayed state, also when old records have expired. */
+import { Map as ImmutableMap } from "immutable";
+import { createControlState, replayRecord, stateOfCheckpoint } from "./controlLog.ts";
+import type { ControlState, RecordVerdict } from "./controlLog.ts";
+import { CommandError } from "./errors.ts";
+import { HttpClients } from "./httpClients.ts";
+import type { LogBatch, LogClient } from "./logClient.ts";
+import type { CheckpointRecord } from "./logRecords.ts";
+import { sendRpc } from "./rpc.ts";
+import type { Address } from "./types.ts";
+
+const PEER_TIMEOUT_MS = 2_000;
+
+export class ControlReader {
+    private readonly log: LogClient;
+    private readonly nodes: readonly Address[];
+    private current = createControlState();
+    /** Verdicts by record id; the first copy of a record decides. */
+    private readonly verdicts = new Map<string, RecordVerdict>();
+
+    /** `nodes` are asked for their state when the log has expired records and holds no checkpoint. */
+    constructor(log: LogClient, nodes: readonly Address[] = []) {
+        this.log = log;
+        this.nodes = nodes;
+    }
+
+    get state(): ControlState {
+        return this.current;
+    }
+
+    /** Verdict of a record; undefined while it has not been read. */
+    verdictOf(id: string): RecordVerdict | undefined {
+        return this.verdicts.get(id) ?? (this.current.config?.id === id ? "accepted" : undefined);
+    }
+
+    /** Reads on to the tail; at the tail it waits up to `waitMs` for a record. */
+    async readToTail(waitMs = 0): Promise<ControlState> {
+        for (;;) {
+            const result = await this.log.read(this.current.offset + 1, waitMs);
+            if (result.type === "gone") {
+                this.current = await this.startAfterGap(result.first);
+                continue;
+            }
+            this.replay(result.batch);
+            if (result.batch.next >= result.batch.tail) return this.current;
+        }
+    }
+
+    private replay(batch: LogBatch): void {
+        for (const { offset, record } of batch.records) {
+            const { state, verdict } = replayRecord(this.current, offset, record);
+            this.current = state;
+            if (!this.verdicts.has(record.id)) this.verdicts.set(record.id, verdict);
+        }
+        // Records that could not be parsed still advance the offset.
+        this.current = { ...this.current, offset: Math.max(this.current.offset, batch.next - 1) };
+    }
+
+    /** The state from which everything that the log still holds can be replayed. */
+    private async startAfterGap(first: number): Promise<ControlState> {
+        const checkpoint = await this.newestCheckpoint(first);
+        if (checkpoint !== undefined) return stateOfCheckpoint(checkpoint);
+        for (const node of this.nodes) {
+            const state = await readNodeState(node);
+            if (state !== undefined && state.offset >= first - 1) return state;
+        }
+        const message =
+            `log service: records before offset ${first} have expired and no checkpoint covers them; `
+            + "give --node with the peer address of a node that is up to date";
+        throw new CommandError([{ code: "expired", path: [], message }]);
+    }
+
+    private async newestCheckpoint(first: number): Promise<CheckpointRecord | undefined> {
+        let found: CheckpointRecord | undefined;
+        for (let from = first;;) {
+            const result = await this.log.read(from, 0);
+            if (result.type === "gone") return this.newestCheckpoint(result.first);
+            for (const { record } of result.batch.records) {
+                if (record.type !== "checkpoint" || record.asOf + 1 < first) continue;
+                if (found === undefined || record.asOf > found.asOf) found = record;
+            }
+            from = result.batch.next;
+            if (from >= result.batch.tail) return found;
+        }
+    }
+}
+
+/** The control state of a node; undefined when it does not answer. */
+export async function readNodeState(node: Address): Promise<ControlState | undefined> {
+    const clients = new HttpClients();
+    try {
+        const answer = await sendRpc(clients, node, { type: "control.state" }, PEER_TIMEOUT_MS);
+        if (answer?.type !== "control.state") return undefined;
+        const { offset, config, views } = answer;
+        return { ...createControlState(), offset, config, views: ImmutableMap(Object.entries(views)) };
+    }
+    finally {
+        await clients.close();
+    }
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,9 +1,12 @@
 /** The command line: one program for nodes, operators and stand-ins. */
 import sade from "sade";
+import { runApply } from "./commands/apply.ts";
+import { runCheck } from "./commands/check.ts";
 import { runDev } from "./commands/dev.ts";
+import { runDiff } from "./commands/diff.ts";
 import { runNode } from "./commands/node.ts";
-import { runApply, runCheck, runStatus } from "./commands/operator.ts";
-import { runStandinLog, runStandinTarget } from "./commands/standins.ts";
+import { runStandinCaller, runStandinLog, runStandinTarget } from "./commands/standins.ts";
+import { runStatus } from "./commands/status.ts";
 import { messageOf } from "./errors.ts";
 import { enableLog } from "./log.ts";
 import type { Flags } from "./settings.ts";
@@ -13,56 +16,173 @@
 
 /** Runs a command; a failure is printed, one line for each issue, and sets a non-zero exit status. */
 function guarded(run: () => Promise<void> | void): void {
-    Promise.resolve().then(run).catch((err: unknown) => {
-        process.stderr.write(`${messageOf(err)}\n`);
-        process.exitCode = 1;
-    });
+    Promise.resolve().then(run).catch((err: unknown) => fail(messageOf(err)));
+}
+
+function fail(message: string): void {
+    process.stderr.write(`${message}\n`);
+    process.exitCode = 1;
 }
 
 const prog = sade("filbertspool").version(VERSION);
-prog.option("--log", "Log namespaces, such as filbertspool:*");
+prog.option("--log", "Log namespaces, such as filbertspool:* (FILBERTSPOOL_LOG)");
+
+type Action = (flags: Flags) => Promise<void> | void;
+type DirectoryAction = (directory: string, flags: Flags) => Promise<void> | void;
+
+/** Flags of each command. */
+const commands = new Map<string, readonly string[]>();
+const BOOLEAN_FLAGS = ["json", "once", "keys", "help"];
+
+interface CommandOptions {
+    readonly name: string;
+    readonly describe: string;
+    readonly flags?: Readonly<Record<string, string>>;
+    readonly action: Action | { readonly onDirectory: DirectoryAction; };
+}
+
+function addCommand({ name, describe, flags = {}, action }: CommandOptions): void {
+    const takesDirectory = typeof action !== "function";
+    const usage = takesDirectory ? `${name} [dir]` : name;
+    prog.command(usage, describe);
+    for (const [flag, text] of Object.entries(flags)) prog.option(`--${flag}`, text);
+    commands.set(name, [...Object.keys(flags), "log", "help"]);
+    const start = (given: Flags, run: (flags: Flags) => Promise<void> | void) => {
+        const stray = given["_"] as readonly string[];
+        if (stray.length > 0) return fail(`unexpected argument "${stray[0]}"; usage: filbertspool ${usage}`);
+        withLog(given);
+        guarded(() => run(joinRepeated(given)));
+    };
+    if (!takesDirectory) {
+        prog.action((given: Flags) => start(given, action));
+        return;
+    }
+    prog.action((directory: string | undefined, given: Flags) => {
+        if (directory === undefined) return fail(`missing directory; usage: filbertspool ${name} <dir>`);
+        start(given, flags => action.onDirectory(directory, flags));
+    });
+}
+
+/** A flag that is given several times is the same as one with all its values, separated by commas. */
+function joinRepeated(flags: Flags): Flags {
+    return Object.fromEntries(
+        Object.entries(flags).map(([flag, value]) => [flag, Array.isArray(value) ? value.join(",") : value]),
+    );
+}
 
 function withLog(flags: Flags): void {
     const namespaces = flags["log"] ?? process.env["FILBERTSPOOL_LOG"];
     if (typeof namespaces === "string") enableLog(namespaces);
 }
 
-prog.command("node", "Run the node beside a target")
-    .option("--service", "Service of the target")
-    .option("--data-centre", "Data centre of this host")
-    .option("--entry", "Listener for callers outside, IP:port")
-    .option("--peer", "Listener for other nodes (TCP and UDP), IP:port")
-    .option("--egress", "Loopback listener for the target, IP:port")
-    .option("--log-url", "URL of the log service")
-    .option("--join", "Peer addresses of other nodes, for a start while the log is away")
-    .option("--peer-key", "Shared key that signs messages between nodes")
-    .action((flags: Flags) => {
-        withLog(flags);
-        guarded(() => runNode(flags, process.env));
-    });
-prog.command("check <dir>", "Validate a file set")
-    .action((dir: string) => guarded(() => runCheck(dir, print)));
-prog.command("apply <dir>", "Publish a file set and wait until it is in force")
-    .option("--log-url", "URL of the log service")
-    .action((dir: string, flags: Flags) => guarded(() => runApply(dir, flags, process.env, print)));
-prog.command("status", "Show what a node knows and does")
-    .option("--node", "Peer address of a node")
-    .action((flags: Flags) => guarded(() => runStatus(flags, process.env, print)));
-prog.command("dev", "Run a small deployment in one process and show a call and a change")
-    .action((flags: Flags) => {
-        withLog(flags);
-        guarded(() => runDev(print));
+const LOG_FLAG = { "log-url": "URL of the log service" };
+const NODE_FLAG = { "node": "Peer addresses of nodes, separated by commas" };
+
+addCommand({
+    name: "node",
+    describe: "Run the node beside a target",
+    flags: {
+        "service": "Service of the target",
+        "data-centre": "Data centre of this host",
+        "entry": "Listener for callers outside, IP:port",
+        "peer": "Listener for other nodes (TCP and UDP), IP:port",
+        "egress": "Loopback listener for the target, IP:port",
+        ...LOG_FLAG,
+        "join": "Peer addresses of other nodes, for a start while the log is away",
+        "peer-key": "Shared key that signs messages between nodes",
+    },
+    action: flags => runNode(flags, process.env),
+});
+addCommand({
+    name: "check",
+    describe: "Validate a file set offline",
+    action: { onDirectory: directory => runCheck(directory, print) },
+});
+addCommand({
+    name: "diff",
+    describe: "Show what a file set would change",
+    flags: { ...LOG_FLAG, ...NODE_FLAG },
+    action: { onDirectory: (directory, flags) => runDiff(directory, flags, process.env, print) },
+});
+addCommand({
+    name: "apply",
+    describe: "Publish a file set and wait until it is in force",
+    flags: {
+        ...LOG_FLAG,
+        ...NODE_FLAG,
+        "base": "Number of the version that the change was made from, 0 for none",
+        "author": "Name that others see (default: the user)",
+        "timeout-s": "How long to wait for the log and the nodes (default 30)",
+    },
+    action: { onDirectory: (directory, flags) => runApply(directory, flags, process.env, print) },
+});
+addCommand({
+    name: "status",
+    describe: "Show what the nodes know and do",
+    flags: { ...LOG_FLAG, ...NODE_FLAG, "json": "Print JSON" },
+    action: flags => runStatus(flags, process.env, print),
+});
+addCommand({
+    name: "dev",
+    describe: "Run a small deployment in one process and show calls, a change and a race",
+    flags: { "port": "First port (default: free ports)", "once": "End after the demonstration" },
+    action: flags => runDev(flags, process.env, print),
+});
+addCommand({
+    name: "standin-log",
+    describe: "Run a stand-in for the log service",
+    flags: {
+        "listen": "Listener, IP:port",
+        "retention-ms": "How long records are kept",
+        "retention-records": "How many records are kept",
+    },
+    action: flags => runStandinLog(flags, process.env, print),
+});
+addCommand({
+    name: "standin-target",
+    describe: "Run a stand-in for a target",
+    flags: {
+        "service": "Service name",
+        "listen": "Listener, IP:port",
+        "egress": "Egress listener of the node beside it",
+        "slots": "Requests worked on at once",
+        "service-ms": "Service time",
+        "calls": "Services that it calls, separated by commas",
+    },
+    action: flags => runStandinTarget(flags, process.env),
+});
+addCommand({
+    name: "standin-caller",
+    describe: "Send load to entry listeners and count the outcomes",
+    flags: {
+        "entry": "Entry listeners, separated by commas",
+        "kind": "Kind of the requests (default: the service's)",
+        "path": "Path of the requests (default /)",
+        "rate": "Requests a second (default 10)",
+        "duration-s": "How long to send (default: until a signal)",
+        "resends": "Resends of a refused or unknown request (default 2)",
+        "backoff-ms": "Longest wait before the first resend, doubled for each (default 200)",
+        "keys": "Send an idempotency key, the same for each resend",
+    },
+    action: flags => runStandinCaller(flags, process.env, print),
+});
+
+function main(argv: string[]): void {
+    const [name] = argv.slice(2);
+    if (name === undefined || (!name.startsWith("-") && !commands.has(name))) {
+        const fault = name === undefined ? "missing command" : `unknown command "${name}"`;
+        return fail(`${fault}; valid: ${[...commands.keys()].join(", ")}`);
+    }
+    prog.parse(argv, {
+        boolean: BOOLEAN_FLAGS,
+        // Without this, a key or a name of digits would be read as a number and lose digits.
+        string: [...commands.values()].flat().filter(flag => !BOOLEAN_FLAGS.includes(flag)),
+        unknown: flag => {
+            const valid = commands.get(name)?.map(known => `--${known}`) ?? ["--help", "--version"];
+            fail(`unknown flag ${flag}; valid: ${valid.join(", ")}`);
+            process.exit();
+        },
     });
-prog.command("standin-log", "Run a stand-in for the log service")
-    .option("--listen", "Listener, IP:port")
-    .option("--retention-ms", "How long records are kept")
-    .action((flags: Flags) => guarded(() => runStandinLog(flags, process.env)));
-prog.command("standin-target", "Run a stand-in for a target")
-    .option("--service", "Service name")
-    .option("--listen", "Listener, IP:port")
-    .option("--egress", "Egress listener of the node beside it")
-    .option("--slots", "Requests worked on at once")
-    .option("--service-ms", "Service time")
-    .option("--calls", "Services that it calls, separated by commas")
-    .action((flags: Flags) => guarded(() => runStandinTarget(flags, process.env)));
-prog.parse(process.argv);
+}
+
+main(process.argv);
