--- a/src/types.ts
+++ b/src/types.ts
@@ -124,7 +124,7 @@
     "crashes-targets",
     "cancelled",
     "connect-failed",
-    "in-progress",
+    "key-conflict",
 ] as const;
 export type RefusalReason = typeof refusalReasons[number];
 
@@ -138,6 +138,7 @@
     "inherited-key",
     "key-expired",
     "already-run",
+    "in-progress",
 ] as const;
 export type UnknownReason = typeof unknownReasons[number];
 
