--- a/src/callExchanges.ts
+++ b/src/callExchanges.ts
@@ -1,12 +1,14 @@
 /** The caller side of the data path: sends attempts to nodes and their answers to callers. */
-import type { Dispatcher } from "undici";
 import type { Effect } from "./effects.ts";
 import type { CallStarted, EventBody } from "./events.ts";
 import type { CallReply, HttpAnswer, HttpRequest, RunReply } from "./exchanges.ts";
 import { fingerprintOf } from "./exchanges.ts";
 import { loadOf, outcomeOf, passedHeaders, retriesLeftOf } from "./headers.ts";
 import type { HttpClients } from "./httpClients.ts";
-import { isConnectFailure } from "./httpClients.ts";
+import type { OutboundAnswer } from "./outbound.ts";
+import { OutboundError, sendOutbound } from "./outbound.ts";
+import type { PeerAuth } from "./peerAuth.ts";
+import { runSignatureParts, SIGNATURE_HEADER } from "./peerAuth.ts";
 import type { RunExchanges } from "./runExchanges.ts";
 import { notRun, unknown } from "./types.ts";
 
@@ -19,9 +21,10 @@
 
 interface CallExchange {
     readonly req: HttpRequest;
+    readonly fingerprint: string;
     readonly reply: CallReply;
-    readonly service: string;
     readonly requestId: string;
+    readonly startedAt: number;
     readonly attempts: Map<number, AttemptExchange>;
 }
 
@@ -29,7 +32,10 @@
     readonly selfId: string;
     readonly clients: HttpClients;
     readonly runs: RunExchanges;
+    readonly auth: PeerAuth;
     readonly dispatch: (event: EventBody) => void;
+    readonly now: () => number;
+    readonly observe: (phase: "call" | "refusal", latencyMs: number) => void;
 }
 
 export type NewCall = Omit<CallStarted, "type" | "call" | "fingerprint">;
@@ -47,13 +53,10 @@
     start(call: NewCall, req: HttpRequest, reply: CallReply): number {
         const id = this.nextId++;
         const { service, requestId } = call;
-        this.exchanges.set(id, { req, reply, service, requestId, attempts: new Map() });
-        this.opts.dispatch({
-            ...call,
-            type: "call_started",
-            call: id,
-            fingerprint: fingerprintOf(service, req),
-        });
+        const fingerprint = fingerprintOf(service, req);
+        const startedAt = this.opts.now();
+        this.exchanges.set(id, { req, fingerprint, reply, requestId, startedAt, attempts: new Map() });
+        this.opts.dispatch({ ...call, type: "call_started", call: id, fingerprint });
         return id;
     }
 
@@ -71,6 +74,7 @@
         const reply: RunReply = {
             relay: (answer, retriesLeft, load) => {
                 pending.answer = answer;
+                if (!this.exchanges.has(call)) answer.body.destroy();
                 const outcome = { type: "ran", status: answer.status } as const;
                 this.opts.dispatch({ type: "attempt_answered", call, attempt, outcome, retriesLeft, load });
             },
@@ -78,31 +82,30 @@
                 this.opts.dispatch({ type: "attempt_answered", call, attempt, outcome, retriesLeft, load });
             },
         };
-        const run = this.opts.runs.start(
-            effect.ctx,
-            exchange.req,
-            reply,
-            fingerprintOf(exchange.service, exchange.req),
-        );
-        pending.cancel = () => this.opts.dispatch({ type: "run_cancelled", run });
+        const run = this.opts.runs.start(effect.ctx, exchange.req, reply, exchange.fingerprint);
+        pending.cancel = () => this.opts.runs.abandon(run);
     }
 
     private sendToPeer(exchange: CallExchange, effect: EffectOf<"send_attempt">): void {
-        const { call, attempt } = effect;
-        const abort = new AbortController();
-        const pending: AttemptExchange = { cancel: () => abort.abort() };
+        const { call, attempt, member } = effect;
+        const { req } = exchange;
+        const context = JSON.stringify(effect.ctx);
+        const headers = { ...passedHeaders(req.headers), "fp-call": context };
+        const signature = this.opts.auth.sign(runSignatureParts(member.address, context, req));
+        const outbound = sendOutbound(this.opts.clients.pool(member.address, effect.connections), {
+            method: req.method,
+            path: `/run${req.path}`,
+            headers: signature === undefined ? headers : { ...headers, [SIGNATURE_HEADER]: signature },
+            body: req.stream ?? req.body,
+        });
+        const pending: AttemptExchange = { cancel: () => outbound.cancel() };
         exchange.attempts.set(attempt, pending);
-        this.opts.clients.pool(effect.member.address, effect.connections).request({
-            method: exchange.req.method,
-            path: `/run${exchange.req.path}`,
-            headers: { ...passedHeaders(exchange.req.headers), "fp-call": JSON.stringify(effect.ctx) },
-            body: exchange.req.body.length > 0 ? exchange.req.body : null,
-            signal: abort.signal,
-        }).then(
-            response => this.onAnswer(pending, effect, response),
+        outbound.answer.then(
+            answer => this.onAnswer(pending, effect, answer),
             (err: unknown) => {
-                const outcome = isConnectFailure(err) ? notRun("connect-failed") : unknown("connection-lost");
-                const retriesLeft = outcome.type === "not-run" ? effect.ctx.retries : 0;
+                const neverSent = err instanceof OutboundError && !err.written;
+                const outcome = neverSent ? notRun("connect-failed") : unknown("connection-lost");
+                const retriesLeft = neverSent ? effect.ctx.retries : 0;
                 this.opts.dispatch({ type: "attempt_answered", call, attempt, outcome, retriesLeft });
             },
         );
@@ -111,23 +114,21 @@
     private onAnswer(
         pending: AttemptExchange,
         effect: EffectOf<"send_attempt">,
-        response: Dispatcher.ResponseData,
+        answer: OutboundAnswer,
     ): void {
         const { call, attempt } = effect;
-        const outcome = outcomeOf(response.statusCode, response.headers);
-        const retriesLeft = retriesLeftOf(response.headers);
-        const load = loadOf(response.headers);
-        if (outcome.type === "ran") {
+        const outcome = outcomeOf(answer.status, answer.headers);
+        const retriesLeft = retriesLeftOf(answer.headers);
+        const load = loadOf(answer.headers);
+        if (outcome.type !== "ran") answer.body.resume();
+        else if (!this.exchanges.has(call)) answer.body.destroy();
+        else {
             pending.answer = {
-                status: response.statusCode,
-                headers: passedHeaders(response.headers),
-                body: response.body,
+                status: answer.status,
+                headers: passedHeaders(answer.headers),
+                body: answer.body,
             };
         }
-        else {
-            response.body.resume();
-            response.body.once("error", () => undefined);
-        }
         this.opts.dispatch({ type: "attempt_answered", call, attempt, outcome, retriesLeft, load });
     }
 
@@ -138,6 +139,7 @@
         if (exchange === undefined || answer === undefined) return;
         exchange.reply.relay(answer, complete => {
             this.exchanges.delete(call);
+            this.opts.observe("call", this.opts.now() - exchange.startedAt);
             this.opts.dispatch({ type: "attempt_closed", call, attempt, complete });
         });
     }
@@ -145,7 +147,9 @@
     refuse(effect: EffectOf<"refuse_call">): void {
         const exchange = this.exchanges.get(effect.call);
         this.exchanges.delete(effect.call);
-        exchange?.reply.refuse(effect.outcome, exchange.requestId);
+        if (exchange === undefined) return;
+        this.opts.observe("refusal", this.opts.now() - exchange.startedAt);
+        exchange.reply.refuse(effect.outcome, exchange.requestId);
     }
 
     cancelAttempt(effect: EffectOf<"cancel_attempt">): void {
--- a/src/commands/node.ts
+++ b/src/commands/node.ts
@@ -7,9 +7,8 @@
     const settings = parseNodeSettings(flags, env);
     const runtime = new NodeRuntime({
         settings,
-        onExit: () => void runtime.stop().then(() => process.exit(0)),
+        onExit: () => process.exit(0),
     });
-    await runtime.start();
     let signals = 0;
     for (const signal of ["SIGTERM", "SIGINT"] as const) {
         process.on(signal, () => {
@@ -18,4 +17,5 @@
             runtime.drain();
         });
     }
+    await runtime.start();
 }
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -84,5 +84,8 @@
     | "untracked_calls"
     | "bad_messages"
     | "control_messages"
+    /** Payload bytes by channel: datagram, rpc, log. */
+    | "control_bytes_sent"
+    | "control_bytes_received"
     | "view_changes"
     | "config_records";
--- a/src/exchanges.ts
+++ b/src/exchanges.ts
@@ -5,13 +5,16 @@
 import type { Headers } from "./headers.ts";
 import type { LoadReport, NotRun, Unknown } from "./types.ts";
 
-/** A request as it arrived, with its body when that was small enough to be kept. */
+/** A request as it arrived. */
 export interface HttpRequest {
     readonly method: string;
     /** Path and query that the target gets. */
     readonly path: string;
     readonly headers: IncomingHttpHeaders;
+    /** The whole body when it is small enough to be kept, else its beginning. */
     readonly body: Buffer;
+    /** All bytes of a body that is too large to be kept; it can be sent only once. */
+    readonly stream?: Readable | undefined;
 }
 
 /** The head and the body stream of an answer. */
@@ -33,9 +36,13 @@
     refuse(outcome: NotRun | Unknown, retriesLeft: number, load: LoadReport): void;
 }
 
-/** Equal for two requests that ask for the same thing. */
+/**
+ * Equal for two requests that ask for the same thing. Of a streamed body the length and the part that was read
+ * before it was streamed count.
+ */
 export function fingerprintOf(service: string, req: HttpRequest): string {
     const hash = createHash("sha256");
     for (const part of [service, req.method, req.path]) hash.update(part).update("\0");
+    if (req.stream !== undefined) hash.update(`${req.headers["content-length"] ?? ""}\0`);
     return hash.update(req.body).digest("hex").slice(0, 32);
 }
--- a/src/headers.ts
+++ b/src/headers.ts
@@ -27,16 +27,25 @@
     "expect",
 ]);
 
-/** The headers to pass on: without hop-by-hop headers and without ours. */
+/** The headers to pass on: without ours, hop-by-hop headers, and those that `connection` names. */
 export function passedHeaders(headers: IncomingHttpHeaders): Headers {
     const passed: Headers = {};
-    for (const [name, value] of Object.entries(headers)) {
+    const nominated = nominatedHeaders(headers);
+    for (const name in headers) {
+        const value = headers[name];
         if (value === undefined || HOP_BY_HOP.has(name) || name.startsWith("fp-")) continue;
+        if (nominated?.has(name) === true) continue;
         passed[name] = value;
     }
     return passed;
 }
 
+function nominatedHeaders(headers: IncomingHttpHeaders): ReadonlySet<string> | undefined {
+    const { connection } = headers;
+    if (connection === undefined || connection === "keep-alive" || connection === "close") return undefined;
+    return new Set(String(connection).split(",").map(name => name.trim().toLowerCase()));
+}
+
 const TRACEPARENT = /^00-([0-9a-f]{32})-[0-9a-f]{16}-[0-9a-f]{2}$/;
 
 /** The trace id of a `traceparent` header, undefined when it is missing or malformed. */
--- a/src/httpClients.ts
+++ b/src/httpClients.ts
@@ -6,44 +6,35 @@
 const KEEP_ALIVE_MS = 30_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 
+interface BoundedPool {
+    readonly pool: Pool;
+    readonly connections: number;
+}
+
 export class HttpClients {
-    private readonly pools = new Map<string, Pool>();
+    private readonly pools = new Map<string, BoundedPool>();
 
-    /** The pool of an address for one purpose; `connections` is the bound of a pool that does not exist yet. */
+    /** The pool of an address for one purpose; a changed bound replaces it, and requests in progress finish. */
     pool(address: Address, connections: number, purpose: "data" | "control" = "data"): Pool {
         const name = `${purpose} ${formatAddress(address)}`;
-        let pool = this.pools.get(name);
-        if (pool === undefined) {
-            pool = new Pool(`http://${formatAddress(address)}`, {
-                connections,
-                pipelining: 1,
-                keepAliveTimeout: KEEP_ALIVE_MS,
-                connect: { timeout: CONNECT_TIMEOUT_MS },
-                headersTimeout: 0,
-                bodyTimeout: 0,
-            });
-            this.pools.set(name, pool);
-        }
+        const known = this.pools.get(name);
+        if (known?.connections === connections) return known.pool;
+        void known?.pool.close();
+        const pool = new Pool(`http://${formatAddress(address)}`, {
+            connections,
+            pipelining: 1,
+            keepAliveTimeout: KEEP_ALIVE_MS,
+            connect: { timeout: CONNECT_TIMEOUT_MS },
+            headersTimeout: 0,
+            bodyTimeout: 0,
+        });
+        this.pools.set(name, { pool, connections });
         return pool;
     }
 
     async close(): Promise<void> {
-        const pools = [...this.pools.values()];
+        const pools = [...this.pools.values()].map(({ pool }) => pool);
         this.pools.clear();
         await Promise.allSettled(pools.map(pool => pool.destroy()));
     }
 }
-
-const NEVER_CONNECTED = new Set([
-    "ECONNREFUSED",
-    "EHOSTUNREACH",
-    "ENETUNREACH",
-    "EADDRNOTAVAIL",
-    "UND_ERR_CONNECT_TIMEOUT",
-]);
-
-/** Whether an error of undici proves that no connection existed, so that no byte of the request was sent. */
-export function isConnectFailure(err: unknown): boolean {
-    const code = (err as { code?: unknown; } | undefined)?.code;
-    return typeof code === "string" && NEVER_CONNECTED.has(code);
-}
--- a/src/httpServers.ts
+++ b/src/httpServers.ts
@@ -1,40 +1,94 @@
-/** The three HTTP listeners of a node: `entry` for callers outside, `egress` for the local target, `peer` for nodes. */
+/** Requests that arrive at a node's listeners, and the answers to them. */
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
 import { fastify } from "fastify";
 import { randomBytes } from "node:crypto";
-import type { ServerResponse } from "node:http";
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from "node:http";
 import { pipeline } from "node:stream";
 import type { CallReply, HttpRequest, RunReply } from "./exchanges.ts";
-import { answerHeaders, traceIdOf } from "./headers.ts";
+import { answerHeaders, baggageMember, traceIdOf } from "./headers.ts";
 import type { NotRun, Unknown } from "./types.ts";
 
-/** Larger request bodies are refused with 413. */
+/** Larger bodies of calls are streamed; larger control messages are refused with 413. */
 export const BODY_LIMIT_BYTES = 1024 * 1024;
 const MS_PER_S = 1_000;
 
-/** A fastify instance that hands every body over as bytes. */
+/** A fastify instance that hands the bodies of control messages over as text. */
 export function createServer(): FastifyInstance {
-    const app = fastify({ bodyLimit: BODY_LIMIT_BYTES, logger: false, forceCloseConnections: true });
+    const app = fastify({ bodyLimit: BODY_LIMIT_BYTES, logger: false, exposeHeadRoutes: false });
     app.removeAllContentTypeParsers();
-    app.addContentTypeParser("*", { parseAs: "buffer" }, (_req, body, done) => done(null, body));
+    app.addContentTypeParser("*", { parseAs: "string" }, (_req, body, done) => done(null, body));
     return app;
 }
 
-export function toHttpRequest(req: FastifyRequest, path: string): HttpRequest {
-    return {
-        method: req.method,
-        path,
-        headers: req.headers,
-        body: Buffer.isBuffer(req.body) ? req.body : Buffer.alloc(0),
+export type DataHandler = (req: IncomingMessage, res: ServerResponse, params: unknown) => void;
+
+/** A route for calls: the handler gets the plain request and response, with the body still unread. */
+export function addDataRoute(app: FastifyInstance, path: string, handle: DataHandler): void {
+    app.all(path, {
+        onRequest: (req: FastifyRequest, reply: FastifyReply) => {
+            reply.hijack();
+            handle(req.raw, reply.raw, req.params);
+        },
+    }, () => undefined);
+}
+
+/**
+ * Reads the body up to `BODY_LIMIT_BYTES` and hands the request over; a larger body stays a stream. A sender
+ * that goes away before that leaves no request.
+ */
+export function receiveRequest(
+    req: IncomingMessage,
+    path: string,
+    handle: (req: HttpRequest) => void,
+): void {
+    const head = { method: req.method ?? "GET", path, headers: req.headers };
+    req.on("error", () => undefined);
+    if (!hasBody(req.headers)) return handle({ ...head, body: Buffer.alloc(0) });
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const onData = (chunk: Buffer) => {
+        chunks.push(chunk);
+        size += chunk.length;
+        if (size <= BODY_LIMIT_BYTES) return;
+        req.off("data", onData).off("end", onEnd).pause();
+        const body = Buffer.concat(chunks);
+        req.unshift(body);
+        handle({ ...head, body, stream: req });
     };
+    const onEnd = () => handle({ ...head, body: Buffer.concat(chunks) });
+    req.on("data", onData).once("end", onEnd);
+}
+
+function hasBody(headers: IncomingHttpHeaders): boolean {
+    const length = headers["content-length"];
+    return headers["transfer-encoding"] !== undefined || (length !== undefined && length !== "0");
 }
 
 /** The trace id of a request, or a new one. */
-export function requestIdOf(req: FastifyRequest): { readonly requestId: string; readonly tracked: boolean; } {
-    const traceId = traceIdOf(req.headers);
+export function requestIdOf(
+    headers: IncomingHttpHeaders,
+): { readonly requestId: string; readonly tracked: boolean; } {
+    const traceId = traceIdOf(headers);
     return { requestId: traceId ?? randomBytes(16).toString("hex"), tracked: traceId !== undefined };
 }
 
+export interface Claims {
+    readonly kind?: string | undefined;
+    readonly key?: string | undefined;
+    readonly deadlineMs?: number | undefined;
+}
+
+/** What a caller claims of its request; the reducer checks it against the configuration. */
+export function claimsOf(headers: IncomingHttpHeaders): Claims {
+    const key = headers["idempotency-key"];
+    const deadlineMs = Number(headers["x-request-deadline-ms"]);
+    return {
+        kind: baggageMember(headers, "fp.kind"),
+        key: typeof key === "string" ? key : undefined,
+        deadlineMs: deadlineMs > 0 ? deadlineMs : undefined,
+    };
+}
+
 /** HTTP status of a refusal to a caller. */
 export function refusalStatus(outcome: NotRun | Unknown): number {
     switch (outcome.reason) {
@@ -53,56 +107,49 @@
     }
 }
 
-export function createCallReply(reply: FastifyReply): CallReply {
-    reply.hijack();
-    const res = reply.raw;
+export function createCallReply(req: IncomingMessage, res: ServerResponse): CallReply {
     return {
         relay: (answer, done) => {
+            if (res.destroyed) return done(false);
             res.writeHead(answer.status, answer.headers);
             pipeline(answer.body, res, err => done(!err));
         },
         refuse: (outcome, requestId) => {
             const retryAfterMs = outcome.type === "not-run" ? outcome.retryAfterMs : 0;
-            const headers: Record<string, string> = retryAfterMs > 0
-                ? { "retry-after": String(Math.ceil(retryAfterMs / MS_PER_S)) }
-                : {};
+            const headers: Record<string, string> = { "content-type": "application/json" };
+            if (retryAfterMs > 0) headers["retry-after"] = String(Math.ceil(retryAfterMs / MS_PER_S));
             const body = { outcome: outcome.type, reason: outcome.reason, requestId, retryAfterMs };
-            sendJson(res, refusalStatus(outcome), body, headers);
+            sendRefusal(req, res, refusalStatus(outcome), headers, JSON.stringify(body));
         },
     };
 }
 
-export function createRunReply(reply: FastifyReply): RunReply {
-    reply.hijack();
-    const res = reply.raw;
+export function createRunReply(req: IncomingMessage, res: ServerResponse): RunReply {
     return {
         relay: (answer, retriesLeft, load) => {
+            if (res.destroyed) return void answer.body.destroy();
             const ours = answerHeaders({ type: "ran", status: answer.status }, retriesLeft, load);
             res.writeHead(answer.status, { ...answer.headers, ...ours });
             pipeline(answer.body, res, () => undefined);
         },
         refuse: (outcome, retriesLeft, load) => {
-            res.writeHead(refusalStatus(outcome), {
-                ...answerHeaders(outcome, retriesLeft, load),
-                "content-length": "0",
-            });
-            res.end();
+            sendRefusal(req, res, refusalStatus(outcome), answerHeaders(outcome, retriesLeft, load), "");
         },
     };
 }
 
-function sendJson(
+/** Answers without a target. An answer that has begun is cut instead, so that it never looks whole. */
+function sendRefusal(
+    req: IncomingMessage,
     res: ServerResponse,
     status: number,
-    body: object,
-    headers: Readonly<Record<string, string>>,
+    headers: Readonly<Record<string, string | string[]>>,
+    text: string,
 ): void {
+    if (res.headersSent) return void res.destroy();
     if (res.destroyed) return;
-    const text = JSON.stringify(body);
-    res.writeHead(status, {
-        "content-type": "application/json",
-        "content-length": String(Buffer.byteLength(text)),
-        ...headers,
-    });
+    if (!req.complete) res.shouldKeepAlive = false;
+    res.writeHead(status, { ...headers, "content-length": String(Buffer.byteLength(text)) });
     res.end(text);
+    req.resume();
 }
--- a/src/logClient.ts
+++ b/src/logClient.ts
@@ -26,7 +26,13 @@
 export class LogClient {
     private readonly pool: Pool;
 
-    constructor(url: string) {
+    private readonly onBytes: (direction: "sent" | "received", bytes: number) => void;
+
+    constructor(
+        url: string,
+        onBytes: (direction: "sent" | "received", bytes: number) => void = () => undefined,
+    ) {
+        this.onBytes = onBytes;
         this.pool = new Pool(url, { connections: CONNECTIONS });
     }
 
@@ -71,6 +77,7 @@
         timeoutMs: number,
         body?: string,
     ): Promise<{ readonly status: number; readonly json: unknown; }> {
+        this.onBytes("sent", path.length + (body === undefined ? 0 : Buffer.byteLength(body)));
         try {
             const response = await this.pool.request({
                 method,
@@ -79,7 +86,9 @@
                 headers: { "content-type": "application/json" },
                 signal: AbortSignal.timeout(timeoutMs),
             });
-            return { status: response.statusCode, json: await response.body.json() };
+            const text = await response.body.text();
+            this.onBytes("received", Buffer.byteLength(text));
+            return { status: response.statusCode, json: JSON.parse(text) as unknown };
         }
         catch (err) {
             throw unexpected(messageOf(err));
--- a/src/metrics.ts
+++ b/src/metrics.ts
@@ -17,6 +17,8 @@
     untracked_calls: "service",
     bad_messages: "reason",
     control_messages: "type",
+    control_bytes_sent: "channel",
+    control_bytes_received: "channel",
     view_changes: "verdict",
     config_records: "verdict",
 };
--- /dev/null
+++ b/src/outbound.ts
@@ -0,0 +1,152 @@
+/**
+ * One HTTP request to another node or to the local target through an undici pool. Unlike undici's own
+ * `request` it tells whether a byte was written, and checks a condition in the step that writes.
+ */
+import { Readable } from "node:stream";
+import type { Dispatcher, Pool } from "undici";
+import type { HttpRequest } from "./exchanges.ts";
+import type { Headers } from "./headers.ts";
+
+const ANSWER_BUFFER_BYTES = 64 * 1024;
+
+export interface OutboundRequest {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Headers;
+    readonly body: HttpRequest["body"] | Readable;
+    /** Asked in the same step that writes the request; nothing is written when it is false. */
+    readonly mayStart?: (() => boolean) | undefined;
+}
+
+export interface OutboundAnswer {
+    readonly status: number;
+    readonly headers: Headers;
+    /** Fails with an error when the answer is cut before its end. */
+    readonly body: Readable;
+}
+
+/** The request failed before the head of an answer arrived. */
+export class OutboundError extends Error {
+    /** False when no byte of the request can have been sent. */
+    readonly written: boolean;
+
+    constructor(written: boolean, cause: unknown) {
+        super(cause instanceof Error ? cause.message : "request failed", { cause });
+        this.name = "OutboundError";
+        this.written = written;
+    }
+}
+
+export interface Outbound {
+    readonly answer: Promise<OutboundAnswer>;
+    /** Breaks the exchange off: an answer that has begun fails, one that has not is rejected. */
+    cancel(): void;
+}
+
+/** The body of an answer; a full buffer pauses the socket. */
+class AnswerBody extends Readable {
+    private readonly controller: Dispatcher.DispatchController;
+    private received = false;
+
+    constructor(controller: Dispatcher.DispatchController) {
+        super({ highWaterMark: ANSWER_BUFFER_BYTES });
+        this.controller = controller;
+        // An answer that is dropped has no reader, and its error must not end the process.
+        this.on("error", () => undefined);
+    }
+
+    add(chunk: Buffer): void {
+        if (!this.push(chunk)) this.controller.pause();
+    }
+
+    end(): void {
+        this.received = true;
+        this.push(null);
+    }
+
+    fail(err: Error): void {
+        this.received = true;
+        this.destroy(err);
+    }
+
+    override _read(): void {
+        this.controller.resume();
+    }
+
+    override _destroy(err: Error | null, done: (err?: Error | null) => void): void {
+        const cause = err ?? (this.received ? null : new Error("answer abandoned"));
+        if (!this.received) this.controller.abort(cause ?? new Error("answer abandoned"));
+        done(cause);
+    }
+}
+
+class OutboundHandler implements Dispatcher.DispatchHandler {
+    private readonly req: OutboundRequest;
+    private readonly resolve: (answer: OutboundAnswer) => void;
+    private readonly reject: (err: OutboundError) => void;
+    private controller: Dispatcher.DispatchController | undefined;
+    private body: AnswerBody | undefined;
+    private cancelled = false;
+    private written = false;
+
+    constructor(
+        req: OutboundRequest,
+        resolve: (answer: OutboundAnswer) => void,
+        reject: (err: OutboundError) => void,
+    ) {
+        this.req = req;
+        this.resolve = resolve;
+        this.reject = reject;
+    }
+
+    cancel(): void {
+        this.cancelled = true;
+        const err = new Error("cancelled");
+        if (this.body !== undefined) this.body.destroy(err);
+        else if (this.written) this.controller?.abort(err);
+        else this.reject(new OutboundError(false, err));
+    }
+
+    /** Called by undici right before it writes; an exception here leaves the connection unused. */
+    onRequestStart(controller: Dispatcher.DispatchController): void {
+        // undici may start a request again after a lost connection; only the reducer decides on a further attempt.
+        if (this.written) throw new Error("connection lost");
+        if (this.cancelled || this.req.mayStart?.() === false) throw new Error("not started");
+        this.controller = controller;
+        this.written = true;
+    }
+
+    onResponseStart(
+        controller: Dispatcher.DispatchController,
+        status: number,
+        headers: Record<string, string | string[] | undefined>,
+    ): void {
+        if (status < 200) return;
+        this.body = new AnswerBody(controller);
+        this.resolve({ status, headers: headers as Headers, body: this.body });
+    }
+
+    onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        this.body?.add(chunk);
+    }
+
+    onResponseEnd(): void {
+        this.body?.end();
+    }
+
+    onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+        if (this.body === undefined) this.reject(new OutboundError(this.written, err));
+        else this.body.fail(err);
+    }
+}
+
+export function sendOutbound(pool: Pool, req: OutboundRequest): Outbound {
+    let handler: OutboundHandler | undefined;
+    const answer = new Promise<OutboundAnswer>((resolve, reject) => {
+        handler = new OutboundHandler(req, resolve, reject);
+        const { method, path, headers } = req;
+        const body = Buffer.isBuffer(req.body) && req.body.length === 0 ? null : req.body;
+        pool.dispatch({ method, path, headers, body }, handler);
+    });
+    return { answer, cancel: () => handler?.cancel() };
+}
--- /dev/null
+++ b/src/peerServer.ts
@@ -0,0 +1,110 @@
+/** The `peer` listener: runs and control messages of other nodes, and the operator's view of this one. */
+import type { FastifyInstance } from "fastify";
+import type { JSONRPCRequest } from "json-rpc-2.0";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { HttpRequest } from "./exchanges.ts";
+import { fingerprintOf } from "./exchanges.ts";
+import { callContextOf } from "./headers.ts";
+import { addDataRoute, createRunReply, createServer, receiveRequest } from "./httpServers.ts";
+import type { Metrics } from "./metrics.ts";
+import { safeParseJson } from "./parse.ts";
+import type { PeerAuth } from "./peerAuth.ts";
+import {
+    answerSignatureParts,
+    requestSignatureParts,
+    runSignatureParts,
+    SIGNATURE_HEADER,
+} from "./peerAuth.ts";
+import type { PeerRequest, PeerResponse } from "./peerMessages.ts";
+import { missingForReadiness } from "./readiness.ts";
+import { createRpcServer } from "./rpc.ts";
+import type { RunExchanges } from "./runExchanges.ts";
+import type { NodeState } from "./state.ts";
+import { statusOf } from "./status.ts";
+import type { Member } from "./types.ts";
+
+export interface PeerServerOptions {
+    readonly self: Member;
+    readonly state: () => NodeState;
+    readonly runs: RunExchanges;
+    readonly metrics: Metrics;
+    readonly auth: PeerAuth;
+    readonly answerRpc: (req: PeerRequest) => Promise<PeerResponse>;
+}
+
+export function createPeerServer(opts: PeerServerOptions): FastifyInstance {
+    const server = createServer();
+    addOperatorRoutes(server, opts);
+    addRpcRoute(server, opts);
+    addDataRoute(server, "/run/*", (req, res) => {
+        receiveRequest(req, (req.url ?? "").slice("/run".length), http => receiveRun(opts, req, res, http));
+    });
+    return server;
+}
+
+function addOperatorRoutes(server: FastifyInstance, opts: PeerServerOptions): void {
+    const { metrics } = opts;
+    server.get("/status", async () => statusOf(opts.state(), await metrics.allValues()));
+    server.get(
+        "/metrics",
+        async (_req, reply) =>
+            reply.type(metrics.registry.contentType).send(await metrics.registry.metrics()),
+    );
+    server.get("/healthz", async () => ({ alive: true }));
+    server.get("/readyz", async (_req, reply) => {
+        const missing = missingForReadiness(opts.state());
+        return reply.code(missing.length === 0 ? 200 : 503).send({ ready: missing.length === 0, missing });
+    });
+}
+
+function addRpcRoute(server: FastifyInstance, opts: PeerServerOptions): void {
+    const { metrics, auth } = opts;
+    const rpc = createRpcServer({
+        answer: opts.answerRpc,
+        onBadMessage: reason => metrics.count("bad_messages", reason),
+    });
+    server.post("/rpc", async (req, reply) => {
+        const body = String(req.body);
+        metrics.count("control_bytes_received", "rpc", Buffer.byteLength(body));
+        const signature = req.headers[SIGNATURE_HEADER];
+        const failure = auth.check(signature, requestSignatureParts(opts.self.address, body));
+        if (failure !== undefined) {
+            metrics.count("bad_messages", failure);
+            return reply.code(403).send({ error: `${SIGNATURE_HEADER}: ${failure}` });
+        }
+        const json = safeParseJson(body);
+        if (!json.success) {
+            metrics.count("bad_messages", "json");
+            return reply.code(400).send({ error: "body: not valid JSON" });
+        }
+        const text = JSON.stringify(await rpc.receive(json.value as JSONRPCRequest) ?? {});
+        metrics.count("control_bytes_sent", "rpc", Buffer.byteLength(text));
+        const signed = auth.sign(answerSignatureParts(String(signature), text));
+        if (signed !== undefined) reply.header(SIGNATURE_HEADER, signed);
+        return reply.type("application/json").send(text);
+    });
+}
+
+function receiveRun(
+    opts: PeerServerOptions,
+    req: IncomingMessage,
+    res: ServerResponse,
+    http: HttpRequest,
+): void {
+    const ctx = callContextOf(req.headers);
+    const failure = ctx === undefined
+        ? "call-context"
+        : opts.auth.check(
+            req.headers[SIGNATURE_HEADER],
+            runSignatureParts(opts.self.address, String(req.headers["fp-call"]), http),
+        );
+    if (ctx === undefined || failure !== undefined) {
+        opts.metrics.count("bad_messages", failure ?? "call-context");
+        res.writeHead(ctx === undefined ? 400 : 403, { "content-length": "0", "connection": "close" }).end();
+        return;
+    }
+    const run = opts.runs.start(ctx, http, createRunReply(req, res), fingerprintOf(opts.self.service, http));
+    res.once("close", () => {
+        if (!res.writableFinished) opts.runs.abandon(run);
+    });
+}
--- a/src/rpc.ts
+++ b/src/rpc.ts
@@ -1,8 +1,10 @@
 /** JSON-RPC 2.0 between nodes over HTTP. The method name is the `type` of the message. */
-import type { JSONRPCRequest } from "json-rpc-2.0";
 import { createJSONRPCRequest, isJSONRPCResponse, JSONRPCServer } from "json-rpc-2.0";
 import type { HttpClients } from "./httpClients.ts";
+import type { Metrics } from "./metrics.ts";
 import { safeParsePeerRequest, safeParsePeerResponse } from "./parse.ts";
+import type { PeerAuth } from "./peerAuth.ts";
+import { answerSignatureParts, requestSignatureParts, SIGNATURE_HEADER } from "./peerAuth.ts";
 import type { PeerRequest, PeerResponse } from "./peerMessages.ts";
 import type { Address } from "./types.ts";
 
@@ -37,24 +39,45 @@
     return server;
 }
 
+export interface RpcClientOptions {
+    readonly clients: HttpClients;
+    readonly auth: PeerAuth;
+    readonly metrics: Metrics;
+}
+
 /** Sends a request to a node; undefined when there is no valid answer in time. */
 export async function sendRpc(
-    clients: HttpClients,
+    opts: RpcClientOptions,
     to: Address,
     request: PeerRequest,
     timeoutMs: number,
 ): Promise<PeerResponse | undefined> {
+    const { auth, metrics } = opts;
     const { type, ...params } = request;
-    const message: JSONRPCRequest = createJSONRPCRequest(1, type, params);
+    const body = JSON.stringify(createJSONRPCRequest(1, type, params));
+    const signature = auth.sign(requestSignatureParts(to, body));
+    const headers: Record<string, string> = { "content-type": "application/json" };
+    if (signature !== undefined) headers[SIGNATURE_HEADER] = signature;
+    metrics.count("control_messages", type);
+    metrics.count("control_bytes_sent", "rpc", Buffer.byteLength(body));
     try {
-        const response = await clients.pool(to, RPC_CONNECTIONS, "control").request({
+        const response = await opts.clients.pool(to, RPC_CONNECTIONS, "control").request({
             method: "POST",
             path: "/rpc",
-            headers: { "content-type": "application/json" },
-            body: JSON.stringify(message),
+            headers,
+            body,
             signal: AbortSignal.timeout(timeoutMs),
         });
-        const json: unknown = await response.body.json();
+        const text = await response.body.text();
+        metrics.count("control_bytes_received", "rpc", Buffer.byteLength(text));
+        if (response.statusCode !== 200) return undefined;
+        const parts = answerSignatureParts(signature ?? "", text);
+        const failure = auth.check(response.headers[SIGNATURE_HEADER], parts);
+        if (failure !== undefined) {
+            metrics.count("bad_messages", failure);
+            return undefined;
+        }
+        const json: unknown = JSON.parse(text);
         if (!isJSONRPCResponse(json)) return undefined;
         const parsed = safeParsePeerResponse(json.result);
         return parsed.success ? parsed.value : undefined;
--- a/src/runExchanges.ts
+++ b/src/runExchanges.ts
@@ -1,13 +1,13 @@
 /** Sends admitted runs to the local target and its answers back to their requesters. */
-import { Readable } from "node:stream";
-import type { Dispatcher } from "undici";
+import { Readable, Transform } from "node:stream";
 import type { Effect } from "./effects.ts";
 import type { EventBody } from "./events.ts";
 import type { HttpRequest, RunReply } from "./exchanges.ts";
 import { baggageWithKind, passedHeaders, traceparent } from "./headers.ts";
 import type { HttpClients } from "./httpClients.ts";
-import { isConnectFailure } from "./httpClients.ts";
-import type { CallContext, RecordedAnswer } from "./types.ts";
+import type { Outbound, OutboundAnswer } from "./outbound.ts";
+import { OutboundError, sendOutbound } from "./outbound.ts";
+import type { CallContext, NotRun, RecordedAnswer, Unknown } from "./types.ts";
 import { notRun, unknown } from "./types.ts";
 
 type EffectOf<T extends Effect["type"]> = Extract<Effect, { readonly type: T; }>;
@@ -21,14 +21,18 @@
     readonly ctx: CallContext;
     readonly req: HttpRequest;
     readonly reply: RunReply;
-    readonly abort: AbortController;
-    response?: Dispatcher.ResponseData;
+    readonly startedAt: number;
+    cancelled: boolean;
+    outbound?: Outbound;
+    answer?: OutboundAnswer;
 }
 
 export interface RunExchangesOptions {
     readonly clients: HttpClients;
     readonly dispatch: (event: EventBody) => void;
     readonly spanId: () => string;
+    readonly now: () => number;
+    readonly observe: (phase: "run", latencyMs: number) => void;
 }
 
 export class RunExchanges {
@@ -43,89 +47,97 @@
     /** Takes a request for the local target and returns the id of its run. */
     start(ctx: CallContext, req: HttpRequest, reply: RunReply, fingerprint: string): number {
         const run = this.nextId++;
-        this.exchanges.set(run, { ctx, req, reply, abort: new AbortController() });
+        this.exchanges.set(run, { ctx, req, reply, startedAt: this.opts.now(), cancelled: false });
         this.opts.dispatch({ type: "run_started", run, ctx, fingerprint });
         return run;
     }
 
     forward(effect: EffectOf<"forward_run">): void {
         const exchange = this.exchanges.get(effect.run);
-        if (exchange === undefined) return;
-        this.exchange(exchange, effect).catch((err: unknown) => {
-            const outcome = isConnectFailure(err) ? notRun("target-down") : unknown("target-crashed");
-            if (isConnectFailure(err)) this.opts.dispatch({ type: "target_lost" });
-            this.opts.dispatch({ type: "run_ended", run: effect.run, outcome });
-            this.exchanges.delete(effect.run);
+        if (exchange === undefined) {
+            this.opts.dispatch({ type: "run_ended", run: effect.run, outcome: notRun("cancelled") });
+            return;
+        }
+        const { startBefore } = effect;
+        exchange.outbound = sendOutbound(this.opts.clients.pool(effect.target, TARGET_CONNECTIONS), {
+            method: exchange.req.method,
+            path: exchange.req.path,
+            headers: this.headersFor(exchange, effect),
+            body: exchange.req.stream ?? exchange.req.body,
+            mayStart: () => startBefore === undefined || this.opts.now() < startBefore,
         });
+        exchange.outbound.answer.then(
+            answer => this.onAnswer(exchange, effect, answer),
+            (err: unknown) => this.onFailure(exchange, effect, err),
+        );
     }
 
-    private async exchange(exchange: RunExchange, effect: EffectOf<"forward_run">): Promise<void> {
-        const { ctx, req } = exchange;
+    private headersFor({ ctx, req }: RunExchange, effect: EffectOf<"forward_run">): Record<
+        string,
+        string | string[]
+    > {
         const headers = passedHeaders(req.headers);
         headers["traceparent"] = traceparent(ctx.requestId, this.opts.spanId());
         headers["baggage"] = baggageWithKind(req.headers, ctx.kind);
         headers["fp-deadline-ms"] = String(Math.max(0, Math.floor(effect.deadlineMs)));
         if (ctx.key !== undefined) headers["idempotency-key"] = ctx.key;
         if (effect.startBefore !== undefined) headers["fp-start-before"] = String(effect.startBefore);
-        const pool = this.opts.clients.pool(effect.target, TARGET_CONNECTIONS);
-        const response = await pool.request({
-            method: req.method,
-            path: req.path,
-            headers,
-            body: req.body.length > 0 ? req.body : null,
-            signal: exchange.abort.signal,
+        return headers;
+    }
+
+    private onFailure(exchange: RunExchange, effect: EffectOf<"forward_run">, err: unknown): void {
+        const written = !(err instanceof OutboundError) || err.written;
+        const stale = effect.startBefore !== undefined && this.opts.now() >= effect.startBefore;
+        const lost = !written && !stale && !exchange.cancelled;
+        if (lost) this.opts.dispatch({ type: "target_lost" });
+        this.end(effect.run, {
+            type: "run_ended",
+            run: effect.run,
+            outcome: outcomeOfFailure(exchange.cancelled, written, stale),
         });
-        exchange.response = response;
-        this.watchBody(exchange, effect, response);
-        this.opts.dispatch({ type: "run_answered", run: effect.run, status: response.statusCode });
     }
 
-    private watchBody(
-        exchange: RunExchange,
-        effect: EffectOf<"forward_run">,
-        response: Dispatcher.ResponseData,
-    ): void {
-        const chunks: Buffer[] = [];
-        let size = 0;
-        if (effect.record) {
-            response.body.on("data", (chunk: Buffer) => {
-                size += chunk.length;
-                if (size <= RECORD_LIMIT_BYTES) chunks.push(chunk);
-            });
+    private onAnswer(exchange: RunExchange, effect: EffectOf<"forward_run">, answer: OutboundAnswer): void {
+        const { run } = effect;
+        if (!hasVisibleEnd(exchange.req.method, answer)) {
+            answer.body.destroy();
+            this.end(run, { type: "run_ended", run, outcome: unknown("truncated") });
+            return;
         }
-        response.body.once("end", () => {
-            const answer: RecordedAnswer | undefined = effect.record && size <= RECORD_LIMIT_BYTES
-                ? {
-                    status: response.statusCode,
-                    contentType: String(response.headers["content-type"] ?? "application/octet-stream"),
-                    body: Buffer.concat(chunks).toString("base64"),
-                }
-                : undefined;
-            this.end(effect.run, {
+        const recorder = effect.record ? new AnswerRecorder(answer) : undefined;
+        const body = recorder === undefined ? answer.body : recorder.body;
+        exchange.answer = { status: answer.status, headers: passedHeaders(answer.headers), body };
+        body.once(recorder === undefined ? "end" : "finish", () => {
+            this.end(run, {
                 type: "run_ended",
-                run: effect.run,
-                outcome: { type: "ran", status: response.statusCode },
-                answer,
+                run,
+                outcome: { type: "ran", status: answer.status },
+                answer: recorder?.recorded(),
             });
+            this.opts.observe("run", this.opts.now() - exchange.startedAt);
         });
-        response.body.once("error", () => {
-            this.end(effect.run, { type: "run_ended", run: effect.run, outcome: unknown("truncated") });
+        body.once("close", () => {
+            const reason = exchange.cancelled ? "cancelled" : "truncated";
+            this.end(run, { type: "run_ended", run, outcome: unknown(reason) });
         });
+        this.opts.dispatch({ type: "run_answered", run, status: answer.status });
     }
 
+    /**
+     * Reports the end of a run once. The exchange is kept for the refusal of the reducer that follows and
+     * dropped after it.
+     */
     private end(run: number, event: EventBody): void {
-        if (this.exchanges.delete(run)) this.opts.dispatch(event);
+        const exchange = this.exchanges.get(run);
+        if (exchange === undefined) return;
+        this.opts.dispatch(event);
+        this.exchanges.delete(run);
     }
 
     relay(effect: EffectOf<"relay_run">): void {
         const exchange = this.exchanges.get(effect.run);
-        if (exchange?.response === undefined) return;
-        const { statusCode, headers, body } = exchange.response;
-        exchange.reply.relay(
-            { status: statusCode, headers: passedHeaders(headers), body },
-            effect.retriesLeft,
-            effect.load,
-        );
+        if (exchange?.answer === undefined) return;
+        exchange.reply.relay(exchange.answer, effect.retriesLeft, effect.load);
     }
 
     refuse(effect: EffectOf<"refuse_run">): void {
@@ -151,6 +163,62 @@
     }
 
     cancel(run: number): void {
-        this.exchanges.get(run)?.abort.abort();
+        const exchange = this.exchanges.get(run);
+        if (exchange === undefined) return;
+        exchange.cancelled = true;
+        exchange.outbound?.cancel();
+    }
+
+    /** The requester of a run has gone. */
+    abandon(run: number): void {
+        this.opts.dispatch({ type: "run_cancelled", run });
+        if (this.exchanges.get(run)?.outbound === undefined) this.exchanges.delete(run);
+    }
+}
+
+function outcomeOfFailure(cancelled: boolean, written: boolean, stale: boolean): NotRun | Unknown {
+    if (cancelled) return written ? unknown("cancelled") : notRun("cancelled");
+    if (written) return unknown("target-crashed");
+    return notRun(stale ? "no-proof" : "target-down");
+}
+
+/**
+ * Whether the end of an answer can be told from a broken connection. An answer that ends with its connection
+ * looks the same when the target crashes in the middle of it.
+ */
+function hasVisibleEnd(method: string, { status, headers }: OutboundAnswer): boolean {
+    return method === "HEAD" || status === 204 || status === 304
+        || headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
+
+/** Keeps a copy of a short answer while it passes. */
+class AnswerRecorder {
+    readonly body: Readable;
+    private readonly answer: OutboundAnswer;
+    private readonly chunks: Buffer[] = [];
+    private size = 0;
+
+    constructor(answer: OutboundAnswer) {
+        this.answer = answer;
+        const copy = new Transform({
+            transform: (chunk: Buffer, _encoding, done) => {
+                this.size += chunk.length;
+                if (this.size <= RECORD_LIMIT_BYTES) this.chunks.push(chunk);
+                done(undefined, chunk);
+            },
+        });
+        copy.on("error", () => undefined);
+        answer.body.once("error", err => copy.destroy(err));
+        copy.once("close", () => answer.body.destroy());
+        this.body = answer.body.pipe(copy);
+    }
+
+    recorded(): RecordedAnswer | undefined {
+        if (this.size > RECORD_LIMIT_BYTES) return undefined;
+        return {
+            status: this.answer.status,
+            contentType: String(this.answer.headers["content-type"] ?? "application/octet-stream"),
+            body: Buffer.concat(this.chunks).toString("base64"),
+        };
     }
 }
--- a/src/runtime.ts
+++ b/src/runtime.ts
@@ -1,39 +1,40 @@
 /** Carries out the reducer's effects and feeds it events: the only place of a node that does I/O. */
-import type { FastifyInstance, FastifyRequest } from "fastify";
-import type { JSONRPCRequest } from "json-rpc-2.0";
 import { randomBytes } from "node:crypto";
 import { CallExchanges } from "./callExchanges.ts";
 import type { Effect } from "./effects.ts";
+import { createEgressServer } from "./egressServer.ts";
+import { createEntryServer } from "./entryServer.ts";
 import { messageOf } from "./errors.ts";
 import type { EventBody } from "./events.ts";
-import { fingerprintOf } from "./exchanges.ts";
-import { baggageMember, callContextOf } from "./headers.ts";
 import { HttpClients } from "./httpClients.ts";
-import { createCallReply, createRunReply, createServer, requestIdOf, toHttpRequest } from "./httpServers.ts";
 import { createNodeState } from "./initialState.ts";
 import { logEvent } from "./log.ts";
 import { LogClient } from "./logClient.ts";
 import { Metrics } from "./metrics.ts";
-import { safeParse, safeParseJson } from "./parse.ts";
+import { PeerAuth } from "./peerAuth.ts";
 import type { PeerRequest, PeerResponse } from "./peerMessages.ts";
-import { missingForReadiness } from "./readiness.ts";
+import { createPeerServer } from "./peerServer.ts";
 import { reduce } from "./reducer.ts";
-import { createRpcServer, sendRpc } from "./rpc.ts";
+import { sendRpc } from "./rpc.ts";
 import { RunExchanges } from "./runExchanges.ts";
-import { announcementSchema } from "./schemas.ts";
+import { ServerGroup } from "./serverGroup.ts";
 import type { NodeSettings } from "./settings.ts";
 import type { NodeState } from "./state.ts";
-import { statusOf } from "./status.ts";
-import type { Address, Member } from "./types.ts";
+import type { Member } from "./types.ts";
 import { assertNever } from "./types.ts";
 
 const NS_PER_MS = 1_000_000;
 /** Wakes are rounded up to this grid, so that many deadlines share one timer. */
 const WAKE_GRID_MS = 10;
+/**
+ * A drained node goes on refusing new work for this long. Each refusal ends its connection, so that few peers
+ * are left that could write to a connection in the moment in which it is closed.
+ */
+const LINGER_MS = 500;
 
 export interface NodeRuntimeOptions {
     readonly settings: NodeSettings;
-    /** Called when the node has drained. */
+    /** Called when the node has drained and closed all connections. */
     readonly onExit: () => void;
 }
 
@@ -46,7 +47,8 @@
     private readonly log: LogClient;
     private readonly runs: RunExchanges;
     private readonly calls: CallExchanges;
-    private readonly servers: FastifyInstance[] = [];
+    private readonly servers = new ServerGroup();
+    private readonly auth: PeerAuth;
     private readonly queue: EventBody[] = [];
     private dispatching = false;
     private readonly rpcAnswers = new Map<number, (response: PeerResponse) => void>();
@@ -54,6 +56,7 @@
     private wakeAt = Infinity;
     private wakeTimer: NodeJS.Timeout | undefined;
     private stopped = false;
+    private exiting = false;
 
     constructor(opts: NodeRuntimeOptions) {
         const { settings } = opts;
@@ -65,18 +68,28 @@
             dataCentre: settings.dataCentre,
         };
         this.state = createNodeState({ self: this.self, joinAddresses: settings.join });
-        this.log = new LogClient(settings.logUrl);
+        this.log = new LogClient(
+            settings.logUrl,
+            (direction, bytes) => this.countBytes(direction, "log", bytes),
+        );
+        this.auth = new PeerAuth(settings.peerKey);
         const dispatch = (event: EventBody) => this.dispatch(event);
+        const observe = (phase: string, latencyMs: number) => this.metrics.observe(phase, latencyMs);
         this.runs = new RunExchanges({
             clients: this.clients,
             dispatch,
+            now: monotonicMs,
+            observe,
             spanId: () => randomBytes(8).toString("hex"),
         });
         this.calls = new CallExchanges({
             selfId: this.self.id,
             clients: this.clients,
             runs: this.runs,
+            auth: this.auth,
             dispatch,
+            now: monotonicMs,
+            observe,
         });
         this.metrics.registerLoad(() => ({
             level: this.state.admission.level,
@@ -87,28 +100,47 @@
 
     async start(): Promise<void> {
         const { settings } = this.opts;
-        await this.listen(this.createPeerServer(), settings.peer);
-        await this.listen(this.createEgressServer(), settings.egress);
-        await this.listen(this.createEntryServer(), settings.entry);
-        logEvent("started", { id: this.self.id, service: this.self.service });
+        const { self, calls } = this;
+        const dispatch = (event: EventBody) => this.dispatch(event);
+        const peer = createPeerServer({
+            self,
+            state: () => this.state,
+            runs: this.runs,
+            metrics: this.metrics,
+            auth: this.auth,
+            answerRpc: req => this.answerRpc(req),
+        });
+        await this.servers.listen(peer, settings.peer);
+        await this.servers.listen(createEgressServer({ self, calls, dispatch }), settings.egress);
+        await this.servers.listen(createEntryServer({ service: self.service, calls }), settings.entry);
+        logEvent("started", { id: self.id, service: self.service });
         this.dispatch({ type: "wake" });
     }
 
-    /** Asks for a planned stop. */
+    /** Asks for a planned stop; `onExit` is called at its end. */
     drain(): void {
         this.dispatch({ type: "drain_requested", source: "signal" });
     }
 
+    /** Closes everything at once but lets answers in progress finish. */
     async stop(): Promise<void> {
+        await this.servers.close();
         this.stopped = true;
         clearTimeout(this.wakeTimer);
-        await Promise.allSettled(this.servers.map(server => server.close()));
         await Promise.allSettled([this.clients.close(), this.log.close()]);
     }
 
-    private async listen(server: FastifyInstance, address: Address): Promise<void> {
-        this.servers.push(server);
-        await server.listen({ host: address.host, port: address.port });
+    private async exit(): Promise<void> {
+        if (this.exiting) return;
+        this.exiting = true;
+        this.servers.refuseReuse();
+        await new Promise(resolve => setTimeout(resolve, LINGER_MS));
+        await this.stop();
+        this.opts.onExit();
+    }
+
+    private countBytes(direction: "sent" | "received", channel: string, bytes: number): void {
+        this.metrics.count(`control_bytes_${direction}`, channel, bytes);
     }
 
     /** Runs the reducer on an event and carries out its effects; events raised meanwhile wait their turn. */
@@ -170,7 +202,8 @@
             case "wake_at":
                 return this.scheduleWake(effect.at);
             case "exit":
-                return this.opts.onExit();
+                void this.exit();
+                return;
             case "count":
                 return this.metrics.count(effect.counter, effect.label, effect.by);
             case "log":
@@ -217,7 +250,13 @@
 
     private async sendRpc(effect: Extract<Effect, { type: "send_rpc"; }>): Promise<void> {
         const askedAt = monotonicMs();
-        const response = await sendRpc(this.clients, effect.to, effect.request, effect.timeoutMs);
+        const { clients, auth, metrics } = this;
+        const response = await sendRpc(
+            { clients, auth, metrics },
+            effect.to,
+            effect.request,
+            effect.timeoutMs,
+        );
         if (!this.stopped) this.dispatch({ type: "rpc_ended", token: effect.token, askedAt, response });
     }
 
@@ -228,124 +267,6 @@
             this.dispatch({ type: "rpc_received", token, request });
         });
     }
-
-    private createPeerServer(): FastifyInstance {
-        const server = createServer();
-        const rpc = createRpcServer({
-            answer: req => this.answerRpc(req),
-            onBadMessage: reason => this.metrics.count("bad_messages", reason),
-        });
-        server.post("/rpc", async (req, reply) => {
-            const json = safeParseJson(String(req.body));
-            if (!json.success) return reply.code(400).send({ error: "body: not valid JSON" });
-            const response = await rpc.receive(json.value as JSONRPCRequest);
-            return reply.send(response ?? {});
-        });
-        server.get("/status", async () => statusOf(this.state, await this.metrics.allValues()));
-        server.get(
-            "/metrics",
-            async (_req, reply) =>
-                reply.type(this.metrics.registry.contentType).send(await this.metrics.registry.metrics()),
-        );
-        server.get("/healthz", async () => ({ alive: true }));
-        server.get("/readyz", async (_req, reply) => {
-            const missing = missingForReadiness(this.state);
-            return reply.code(missing.length === 0 ? 200 : 503).send({
-                ready: missing.length === 0,
-                missing,
-            });
-        });
-        server.all("/run/*", (req, reply) => {
-            const ctx = callContextOf(req.headers);
-            if (ctx === undefined) {
-                this.metrics.count("bad_messages", "call-context");
-                return reply.code(400).send({ error: "fp-call: not a valid call context" });
-            }
-            const http = toHttpRequest(req, req.url.slice("/run".length));
-            const run = this.runs.start(
-                ctx,
-                http,
-                createRunReply(reply),
-                fingerprintOf(this.self.service, http),
-            );
-            reply.raw.once("close", () => {
-                if (!reply.raw.writableFinished) this.dispatch({ type: "run_cancelled", run });
-            });
-            return reply;
-        });
-        return server;
-    }
-
-    private createEntryServer(): FastifyInstance {
-        const server = createServer();
-        server.all("/*", (req, reply) => {
-            const { requestId } = requestIdOf(req);
-            const http = toHttpRequest(req, req.url);
-            const reply1 = createCallReply(reply);
-            const call = this.calls.start(
-                {
-                    from: "entry",
-                    service: this.self.service,
-                    requestId,
-                    tracked: true,
-                    replayable: true,
-                    ...this.claimsOf(req),
-                },
-                http,
-                reply1,
-            );
-            reply.raw.once("close", () => {
-                if (!reply.raw.writableFinished) this.calls.abandon(call);
-            });
-            return reply;
-        });
-        return server;
-    }
-
-    private createEgressServer(): FastifyInstance {
-        const server = createServer();
-        server.post("/announce", async (req, reply) => {
-            const json = safeParseJson(String(req.body));
-            const parsed = json.success ? safeParse(announcementSchema, json.value) : json;
-            if (!parsed.success) return reply.code(400).send({ error: "announce", issues: parsed.issues });
-            if (parsed.value.service !== this.self.service) {
-                return reply.code(400).send({ error: `service: this node serves ${this.self.service}` });
-            }
-            this.dispatch({ type: "target_announced", address: parsed.value.address });
-            return reply.send({ node: this.self.id });
-        });
-        server.post("/drain", async (_req, reply) => {
-            this.dispatch({ type: "drain_requested", source: "target" });
-            return reply.send({ draining: true });
-        });
-        server.all("/:service/*", (req, reply) => {
-            const { service } = req.params as { service: string; };
-            const call = this.calls.start(
-                { from: "egress", service, ...requestIdOf(req), replayable: true, ...this.claimsOf(req) },
-                toHttpRequest(req, req.url.slice(service.length + 1)),
-                createCallReply(reply),
-            );
-            reply.raw.once("close", () => {
-                if (!reply.raw.writableFinished) this.calls.abandon(call);
-            });
-            return reply;
-        });
-        return server;
-    }
-
-    /** What a caller claims of its request; the reducer checks it against the configuration. */
-    private claimsOf(
-        req: FastifyRequest,
-    ): { readonly kind?: string; readonly key?: string; readonly deadlineMs?: number; } {
-        const kind = baggageMember(req.headers, "fp.kind");
-        const key = req.headers["idempotency-key"];
-        const deadlineMs = Number(req.headers["x-request-deadline-ms"]);
-        return {
-            ...(kind === undefined ? {} : { kind }),
-            ...(typeof key === "string" ? { key } : {}),
-            ...(deadlineMs > 0 ? { deadlineMs } : {}),
-        };
-    }
 }
 
 export function monotonicMs(): number {
--- /dev/null
+++ b/test/endToEndBodies.test.ts
@@ -0,0 +1,161 @@
+/** Bodies and headers over two nodes: the test process is both targets, and calls as the first one. */
+import { expect } from "chai";
+import { once } from "node:events";
+import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
+import { request } from "undici";
+import type { TestNode } from "./support/deployment.ts";
+import { Deployment, untilReady } from "./support/deployment.ts";
+import { fetchText } from "./support/processes.ts";
+
+const MIB = 1024 * 1024;
+
+async function failureOf(promise: Promise<unknown>): Promise<unknown> {
+    return promise.then(() => undefined, (err: unknown) => err);
+}
+
+describe("bodies and headers over two nodes", () => {
+    const deployment = new Deployment();
+    let calendar: TestNode;
+    let booking: TestNode;
+    let handle: (...args: Parameters<RequestListener>) => void | Promise<void> = () => undefined;
+
+    before(async () => {
+        await deployment.start();
+        booking = await deployment.addNode("booking", (req, res) => void handle(req, res));
+        calendar = await deployment.addNode("calendar", (_req, res) => res.end());
+        await untilReady(booking, calendar);
+    });
+    after(() => deployment.stop());
+
+    function url(path: string): string {
+        return `${calendar.egress}/booking${path}`;
+    }
+
+    function nextRequest(): Promise<[IncomingMessage, ServerResponse]> {
+        return new Promise(resolve => handle = (req, res) => resolve([req, res]));
+    }
+
+    // Without back-pressure a node would hold the whole answer of a fast target in memory for a slow caller.
+    it("stops reading an answer that its caller does not read, and delivers it whole later", async () => {
+        const chunk = Buffer.alloc(MIB, "x");
+        const total = 256;
+        let sent = 0;
+        handle = async (_req, res) => {
+            for (; sent < total; sent++) {
+                if (!res.write(chunk)) await once(res, "drain");
+            }
+            res.end();
+        };
+        const answer = await request(url("/footage"));
+        for (let seen = -1; seen !== sent;) {
+            seen = sent;
+            await new Promise(resolve => setTimeout(resolve, 500));
+        }
+        expect(sent).to.be.lessThan(64);
+        let received = 0;
+        for await (const part of answer.body) received += (part as Buffer).length;
+        expect(received).to.equal(total * MIB);
+    });
+
+    for (const [framing, headers] of [["a length", { "content-length": "1000" }], ["chunks", {}]] as const) {
+        it(`breaks the caller's connection when the target breaks an answer with ${framing}`, async () => {
+            handle = (_req, res) => {
+                res.writeHead(200, headers);
+                res.write("x".repeat(500), () => res.destroy());
+            };
+            const answer = await request(url("/footage"));
+            expect(await failureOf(answer.body.text())).to.be.instanceOf(Error);
+        });
+    }
+
+    // The end of such an answer cannot be told from a crash of the target, so it must not look whole.
+    it("refuses an answer that ends with its connection", async () => {
+        handle = req => void req.socket.end("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf an answer");
+        const { status, text } = await fetchText(url("/footage"));
+        expect(status).to.equal(502);
+        expect(JSON.parse(text)).to.include({ outcome: "unknown", reason: "truncated" });
+    });
+
+    for (const size of [MIB, 3 * MIB + 1]) {
+        it(`carries a request body of ${size} bytes whole`, async () => {
+            handle = async (req, res) => {
+                let received = 0;
+                for await (const part of req) received += (part as Buffer).length;
+                res.end(String(received));
+            };
+            const { text } = await fetchText(url("/seats"), { method: "POST", body: Buffer.alloc(size) });
+            expect(text).to.equal(String(size));
+        });
+    }
+
+    // Work for a caller that has gone would go on at an overloaded target.
+    it("cancels the request at the target when the caller goes", async () => {
+        const arrived = nextRequest();
+        const abort = new AbortController();
+        const failed = failureOf(request(url("/slow"), { signal: abort.signal }));
+        const [, res] = await arrived;
+        const closed = once(res, "close");
+        abort.abort();
+        await closed;
+        expect(await failed).to.be.instanceOf(Error);
+    });
+
+    it("answers 504 at the deadline and cancels the request at the target", async () => {
+        const arrived = nextRequest();
+        const answer = fetchText(url("/slow"), { headers: { baggage: "fp.kind=brief" } });
+        const [, res] = await arrived;
+        const closed = once(res, "close");
+        expect((await answer).status).to.equal(504);
+        await closed;
+    });
+
+    // A target that could set these headers could claim "not run" for a request that it ran.
+    it("passes no fp- header of a target on and does not act on one", async () => {
+        handle = (_req, res) => {
+            res.writeHead(200, {
+                "fp-outcome": "not-run",
+                "fp-reason": "draining",
+                "fp-retries-left": "9",
+                "connection": "x-private",
+                "x-private": "1",
+            }).end("ran");
+        };
+        const answer = await request(url("/seats"));
+        expect(await answer.body.text()).to.equal("ran");
+        expect(answer.statusCode).to.equal(200);
+        expect(Object.keys(answer.headers).filter(name => name.startsWith("fp-"))).to.be.empty;
+        expect(answer.headers).not.to.have.property("x-private");
+    });
+
+    it("gives the target its deadline and last start, and none of the caller's fp- headers", async () => {
+        const arrived = nextRequest();
+        const headers = { "baggage": "fp.kind=book", "idempotency-key": "b-1", "fp-call": "{}", "fp-x": "1" };
+        const answer = fetchText(url("/seats"), { method: "POST", headers });
+        const [req, res] = await arrived;
+        res.end("booked");
+        expect((await answer).text).to.equal("booked");
+        expect(Object.keys(req.headers).filter(name => name.startsWith("fp-")))
+            .to.have.members(["fp-deadline-ms", "fp-start-before"]);
+        expect(Number(req.headers["fp-deadline-ms"])).to.be.within(1, 20_000);
+    });
+
+    it("replays the recorded answer of a key without a second run", async () => {
+        let runs = 0;
+        handle = (_req, res) => void res.end(`booked ${++runs}`);
+        const headers = { "baggage": "fp.kind=book", "idempotency-key": "b-2" };
+        const first = await fetchText(url("/seats"), { method: "POST", headers });
+        const second = await fetchText(url("/seats"), { method: "POST", headers });
+        expect([first.text, second.text]).to.deep.equal(["booked 1", "booked 1"]);
+    });
+
+    it("breaks the caller's connection when the node beside the target is killed", async () => {
+        handle = (_req, res) => {
+            res.writeHead(200, { "content-length": "1000" });
+            res.write("x".repeat(500));
+        };
+        const answer = await request(url("/footage"));
+        const failed = failureOf(answer.body.text());
+        booking.process.kill("SIGKILL");
+        expect(await failed).to.be.instanceOf(Error);
+    });
+});
