--- a/src/standins/logService.ts
+++ b/src/standins/logService.ts
@@ -101,8 +101,10 @@
             this.appends++;
             stream.waiters.forEach(wake => wake());
             if (this.takeLostAnswer()) {
-                req.raw.destroy();
-                return reply.hijack();
+                reply.hijack();
+                // Destroying the request would leave the socket open once its body has been read.
+                req.raw.socket.destroy();
+                return reply;
             }
             return reply.send({ offset });
         });
