Report no issue about references to an item that is itself faulty

Cause: a fault in a kind also brought "not a valid kind" for every service that names it. Change: references are checked against the names of all items. Figures: one issue in place of two for a kind with a priority out of range and one service that names it. Conclusion: each fault is reported once.

--- a/src/fileSetChecks.ts
+++ b/src/fileSetChecks.ts
@@ -15,6 +15,9 @@
     readonly services: readonly Item<Service>[];
     readonly replacedServices: readonly Item<ReplacedService>[];
     readonly resendHorizonMs: number | undefined;
+    /** All names, those of faulty items too, so that one fault does not bring issues about its references. */
+    readonly kindNames: readonly string[];
+    readonly serviceNames: readonly string[];
 }
 
 /** Names travel in URLs, flags and headers. */
@@ -28,8 +31,8 @@
         ...checkNames("services.yaml", "services", items.services),
         ...items.services.flatMap(service => checkReserved(service)),
         ...items.kinds.flatMap(kind => checkHorizon(kind, items.resendHorizonMs)),
-        ...items.services.flatMap(service => checkDefaultKind(service, items.kinds)),
-        ...items.services.flatMap(service => checkCalls(service, items.services)),
+        ...items.services.flatMap(service => checkDefaultKind(service, items.kindNames)),
+        ...items.services.flatMap(service => checkCalls(service, items.serviceNames)),
         ...checkCycles(items.services),
         ...checkReplaced(items),
     ];
@@ -80,10 +83,9 @@
 
 function checkDefaultKind(
     { index, value }: Item<Service>,
-    kinds: readonly Item<Kind>[],
+    names: readonly string[],
 ): readonly CrossCheckIssue[] {
-    const names = kinds.map(kind => kind.value.name);
-    // Without one valid kind, the issues of kinds.yaml say what is wrong.
+    // Without one kind, the issues of kinds.yaml say what is wrong.
     if (names.length === 0 || names.includes(value.defaultKind)) return [];
     const message = `defaultKind "${value.defaultKind}" is not a valid kind; valid: ${names.join(", ")}`;
     return [{
@@ -96,9 +98,9 @@
 
 function checkCalls(
     { index, value }: Item<Service>,
-    services: readonly Item<Service>[],
+    names: readonly string[],
 ): readonly CrossCheckIssue[] {
-    const others = services.map(service => service.value.name).filter(name => name !== value.name);
+    const others = names.filter(name => name !== value.name);
     return value.calls.flatMap((called, position) => {
         const issue = (code: string, message: string): CrossCheckIssue => ({
             file: "services.yaml",
@@ -150,7 +152,7 @@
 }
 
 function checkReplaced(items: FileSetItems): readonly CrossCheckIssue[] {
-    const names = items.services.map(service => service.value.name);
+    const names = items.serviceNames;
     return items.replacedServices.flatMap(({ index, value }, position) => {
         const issue = (code: string, message: string): CrossCheckIssue => ({
             file: "settings.yaml",
--- a/src/files.ts
+++ b/src/files.ts
@@ -93,6 +93,8 @@
             services: files.services.items("services", serviceSchema),
             replacedServices: files.settings.items("replacedServices", replacedServiceSchema),
             resendHorizonMs: resendHorizonOf(files.settings),
+            kindNames: files.kinds.names("kinds"),
+            serviceNames: files.services.names("services"),
         }).map(({ file, path, code, message }) =>
             issueAt(`${file}:${fileOf(files, file).lineOf(path)}`, code, message)
         ),
@@ -203,14 +205,25 @@
         list: string,
         schema: TSchema,
     ): readonly Item<v.InferOutput<TSchema>>[] {
-        const values = (this.value as Record<string, unknown> | undefined | null)?.[list];
-        if (!Array.isArray(values)) return [];
-        return values.flatMap((value, index) => {
+        return this.list(list).flatMap((value, index) => {
             const result = v.safeParse(schema, value);
             return result.success ? [{ index, value: result.output }] : [];
         });
     }
 
+    /** The names of all items of a list, also of those that are not valid. */
+    names(list: string): readonly string[] {
+        return this.list(list).flatMap(value => {
+            const name = (value as { readonly name?: unknown; } | null)?.name;
+            return typeof name === "string" ? [name] : [];
+        });
+    }
+
+    private list(name: string): readonly unknown[] {
+        const values = (this.value as Record<string, unknown> | undefined | null)?.[name];
+        return Array.isArray(values) ? values : [];
+    }
+
     /** Line of the nearest node on the way to a field. */
     lineOf(path: readonly (string | number)[]): number {
         for (let length = path.length; length > 0; length--) {
