Test publishing and the commands of operators

Cause: lost answers, races, lagging nodes, expired records and wrong flags had no tests. A failed connection to a host name with several addresses no longer prints an empty message.

--- a/src/errors.ts
+++ b/src/errors.ts
@@ -60,5 +60,8 @@
 }
 
 export function messageOf(err: unknown): string {
-    return err instanceof Error ? err.message : String(err);
+    if (!(err instanceof Error)) return String(err);
+    // A failed connection to a host name with several addresses has an empty message.
+    const { code } = err as { readonly code?: unknown; };
+    return err.message === "" && typeof code === "string" ? code : err.message;
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -49,7 +49,11 @@
     commands.set(name, [...Object.keys(flags), "log", "help"]);
     const start = (given: Flags, run: (flags: Flags) => Promise<void> | void) => {
         const stray = given["_"] as readonly string[];
-        if (stray.length > 0) return fail(`unexpected argument "${stray[0]}"; usage: filbertspool ${usage}`);
+        if (stray.length > 0) {
+            return fail(
+                `unexpected argument "${stray[0]}"; usage: filbertspool ${usage.replace("[dir]", "<dir>")}`,
+            );
+        }
         withLog(given);
         guarded(() => run(joinRepeated(given)));
     };
--- /dev/null
+++ b/test/operatorApply.test.ts
@@ -0,0 +1,172 @@
+/** Publishing a file set: a change must apply once, be reported only when a node holds it, and lose a race clearly. */
+import { expect } from "chai";
+import { ControlReader } from "../src/controlReader.ts";
+import { LogClient } from "../src/logClient.ts";
+import type { LogRecord } from "../src/logRecords.ts";
+import { NO_BASE } from "../src/logRecords.ts";
+import type { PublishOptions } from "../src/publish.ts";
+import { publish } from "../src/publish.ts";
+import { NodeRuntime } from "../src/runtime.ts";
+import { LogService } from "../src/standins/logService.ts";
+import type { Address, Configuration } from "../src/types.ts";
+import { freePort } from "./support/processes.ts";
+
+const HOST = "127.0.0.1";
+
+function createConfiguration(priority = 0): Configuration {
+    const kind = { worth: 1, nonIdempotent: true, retries: 2, deadlineMs: 1_000, external: true };
+    return {
+        kinds: [{ name: "book", priority, ...kind }],
+        services: [{ name: "booking", defaultKind: "book", calls: [], connections: 1 }],
+        resendHorizonMs: 600_000,
+        replacedServices: [],
+    };
+}
+
+const freeAddress = async (): Promise<Address> => ({ host: HOST, port: await freePort() });
+
+describe("publishing a file set", () => {
+    const started: { stop(): Promise<void>; }[] = [];
+    afterEach(async () => {
+        await Promise.all(started.splice(0).map(part => part.stop()));
+    });
+
+    async function startLog(opts: { readonly retentionRecords?: number; } = {}) {
+        const address = await freeAddress();
+        const service = new LogService({ address, ...opts });
+        await service.start();
+        const url = `http://${HOST}:${address.port}`;
+        const log = new LogClient(url);
+        started.push(service, { stop: () => log.close() });
+        return { service, url, log };
+    }
+
+    async function startNode(logUrl: string): Promise<Address> {
+        const [entry, peer, egress] = [await freeAddress(), await freeAddress(), await freeAddress()];
+        const settings = { service: "booking", dataCentre: "a", entry, peer, egress, logUrl, join: [] };
+        const node = new NodeRuntime({ settings, onExit: () => undefined });
+        started.push(node);
+        await node.start();
+        return peer;
+    }
+
+    /** Publishes and returns the lines shown, the last one being the failure if there is one. */
+    async function tryPublish(log: LogClient, nodes: readonly Address[], opts: Partial<PublishOptions> = {}) {
+        const lines: string[] = [];
+        await publish({
+            log,
+            nodes,
+            configuration: createConfiguration(),
+            author: "anna",
+            timeoutMs: 10_000,
+            print: line => lines.push(line),
+            ...opts,
+        }).catch((err: Error) => lines.push(err.message));
+        return lines;
+    }
+
+    const ACCEPTED = ["version 1 is in the log", "version 1 accepted", "in force on 1 of 1 nodes"];
+    const SUPERSEDED = "superseded by version 1 of ben; run diff and apply again";
+
+    it("applies once when the answer of the append is lost", async () => {
+        const { service, url, log } = await startLog();
+        const node = await startNode(url);
+        service.setFaults({ loseAnswers: 2 });
+        const [first, ...rest] = await tryPublish(log, [node]);
+        expect(first).to.match(/^log service: .*; sent again with the same id$/);
+        expect(rest).to.deep.equal(ACCEPTED);
+        const { config } = await new ControlReader(log).readToTail();
+        expect(config?.number).to.equal(1);
+    });
+
+    it("says that it does not know the result when the log does not confirm the change", async () => {
+        const { service, url, log } = await startLog();
+        const node = await startNode(url);
+        class FailingLog extends LogClient {
+            override async append(): Promise<number> {
+                service.setFaults({ outage: true });
+                return super.append({ type: "checkpoint", id: "c", asOf: -1, bridge: false, views: {} });
+            }
+        }
+        const failing = new FailingLog(url);
+        started.push({ stop: () => failing.close() });
+        const lines = await tryPublish(failing, [node], { timeoutMs: 500 });
+        expect(lines.at(-1)).to.match(/did not confirm the change in 0\.5 s .* may still take effect/);
+        await log.close();
+    });
+
+    it("tells the loser of a race who won, and leaves the winner's version in force", async () => {
+        const { url, log } = await startLog();
+        const node = await startNode(url);
+        /** Lets a rival's record into the log between this operator's read and append. */
+        class RacingLog extends LogClient {
+            override async append(record: LogRecord): Promise<number> {
+                const rival = { ...record, id: "rival", author: "ben", base: NO_BASE } as LogRecord;
+                await super.append(rival);
+                return super.append(record);
+            }
+        }
+        const racing = new RacingLog(url);
+        started.push({ stop: () => racing.close() });
+        expect(await tryPublish(racing, [node])).to.deep.equal([SUPERSEDED]);
+        expect((await new ControlReader(log).readToTail()).config).to.include({ number: 1, author: "ben" });
+    });
+
+    it("refuses a change that was made from an older version, without an append", async () => {
+        const { service, url, log } = await startLog();
+        const node = await startNode(url);
+        await tryPublish(log, [node], { author: "ben" });
+        const appends = service.appends;
+        const changed = { configuration: createConfiguration(3) };
+        expect(await tryPublish(log, [node], { ...changed, base: 0 })).to.deep.equal([SUPERSEDED]);
+        expect(await tryPublish(log, [node], { ...changed, base: 2 })).to.deep.equal([
+            "--base: version 2 does not exist; version 1 of ben is",
+        ]);
+        expect(service.appends).to.equal(appends);
+        expect((await tryPublish(log, [node], { ...changed, base: 1 })).at(-1)).to.equal(
+            "in force on 1 of 1 nodes",
+        );
+    });
+
+    it("appends nothing when the set is the one in force", async () => {
+        const { service, url, log } = await startLog();
+        const node = await startNode(url);
+        await tryPublish(log, [node]);
+        const appends = service.appends;
+        expect((await tryPublish(log, [node]))[0]).to.equal("no change: version 1 of anna is the same");
+        expect(service.appends).to.equal(appends);
+    });
+
+    it("does not say accepted while no node holds the version, and names the nodes that lag", async () => {
+        const { log } = await startLog();
+        const behind = await startNode(`http://${HOST}:${await freePort()}`);
+        const gone = await freeAddress();
+        const lines = await tryPublish(log, [behind, gone], { timeoutMs: 500 });
+        expect(lines.join("\n")).not.to.contain("accepted");
+        expect(lines.at(-1)!.split("\n")).to.have.length(2);
+        expect(lines.at(-1)).to.contain(
+            `booking ${HOST}:${behind.port}: version 1 is not in force after 0.5 s; has version 0`,
+        );
+        expect(lines.at(-1)).to.contain(
+            `${HOST}:${gone.port}: version 1 is not in force after 0.5 s; unreachable`,
+        );
+        expect((await tryPublish(log, [], { timeoutMs: 1 })).at(-1)).to.match(/no node is known/);
+    });
+
+    it("starts from a checkpoint, or from a node's state, when old records have expired", async () => {
+        const { url, log } = await startLog({ retentionRecords: 1 });
+        const node = await startNode(url);
+        await tryPublish(log, [node]);
+        // A record without effect takes the place of the accepted one.
+        await log.append({ type: "checkpoint", id: "old", asOf: -1, bridge: false, views: {} });
+        expect((await new ControlReader(log, [node]).readToTail()).config?.number).to.equal(1);
+        const failure = await new ControlReader(log).readToTail().then(
+            () => "read",
+            (err: Error) => err.message,
+        );
+        expect(failure).to.match(/^log service: records before offset 1 have expired/);
+        const { config } = await new ControlReader(log, [node]).readToTail();
+        await log.append({ type: "checkpoint", id: "new", asOf: 1, bridge: false, config, views: {} });
+        expect((await new ControlReader(log).readToTail()).config).to.deep.equal(config);
+    });
+});
