Detect failed nodes by probes over datagrams

Cause: a node knew members only from views and took all of them for alive. Change: one probe a period with indirect probes, suspicion with refutation, updates carried on probes, and lists of members exchanged on first contact and every 30 s. Lists are compared by 32 hashes, so that one difference costs a part of the list. The fakes count messages and bytes each way and can lose datagrams by direction.

--- /dev/null
+++ b/src/gossip.ts
@@ -0,0 +1,173 @@
+/** Updates about members: which of two is newer, what a node makes of one, and how often it is passed on. */
+import type { Effect } from "./effects.ts";
+import type { MemberEntry, MembershipState } from "./membership.ts";
+import { createEntry, putEntry } from "./membership.ts";
+import type { MemberStatus, MemberUpdate } from "./peerMessages.ts";
+import type { NodeState, Step } from "./state.ts";
+import { andThen, step } from "./state.ts";
+import type { Member } from "./types.ts";
+
+const UPDATES_PER_MESSAGE = 6;
+const SENDS_PER_LOG2 = 3;
+/** Bound on updates waiting to be sent; the ones sent most often are dropped first. */
+const GOSSIP_LIMIT = 1_024;
+const MIN_SUSPICION_MS = 3_000;
+const SUSPICION_PER_LOG10_MS = 2_000;
+
+const RANKS: Readonly<Record<MemberStatus, number>> = { alive: 0, draining: 1, suspect: 2, dead: 3 };
+
+/** Time for the refutation of a suspicion to spread. */
+export function suspicionMs(size: number): number {
+    return Math.max(MIN_SUSPICION_MS, SUSPICION_PER_LOG10_MS * Math.log10(size));
+}
+
+function sendCount(size: number): number {
+    return Math.ceil(SENDS_PER_LOG2 * Math.log2(Math.max(2, size)));
+}
+
+/** What this node says of itself. */
+export function ownUpdate(state: NodeState): MemberUpdate {
+    return {
+        member: state.self,
+        status: state.draining ? "draining" : "alive",
+        refutation: state.members.refutation,
+    };
+}
+
+export function updateOf(entry: MemberEntry): MemberUpdate {
+    const status = entry.status === "alive" && entry.draining ? "draining" : entry.status;
+    return { member: entry.member, status, refutation: entry.refutation };
+}
+
+/** Puts the latest update about a member into the queue. */
+export function spread(members: MembershipState, id: string): MembershipState {
+    let gossip = members.gossip.set(id, sendCount(members.entries.size + 1));
+    if (gossip.size > GOSSIP_LIMIT) gossip = gossip.delete(gossip.sortBy(left => left).keySeq().first()!);
+    return { ...members, gossip };
+}
+
+/** Raises the refutation counter and spreads this node's own update. */
+export function spreadOwn(state: NodeState, atLeast: number): NodeState {
+    const refutation = Math.max(state.members.refutation + 1, atLeast);
+    return { ...state, members: spread({ ...state.members, refutation }, state.self.id) };
+}
+
+export interface TakenUpdates {
+    readonly members: MembershipState;
+    readonly updates: readonly MemberUpdate[];
+}
+
+/** The updates for a message to a member: what it must refute first, then those that were sent least often. */
+export function takeUpdates(state: NodeState, to: Member, opinion?: MemberUpdate): TakenUpdates {
+    const { entries, gossip } = state.members;
+    const about = opinion ?? opinionOn(state, to.id);
+    const updates: MemberUpdate[] = about === undefined ? [] : [about];
+    if (gossip.isEmpty()) return { members: state.members, updates };
+    let left = gossip;
+    for (const [id, sends] of leastSent(gossip, UPDATES_PER_MESSAGE - updates.length)) {
+        const entry = entries.get(id);
+        left = sends <= 1 ? left.delete(id) : left.set(id, sends - 1);
+        if (id === to.id) continue;
+        if (id === state.self.id) updates.push(ownUpdate(state));
+        else if (entry !== undefined) updates.push(updateOf(entry));
+    }
+    return { members: { ...state.members, gossip: left }, updates };
+}
+
+/** One pass; sorting the whole queue for each message would dominate the cost of a probe at 950 members. */
+function leastSent(gossip: MembershipState["gossip"], count: number): readonly (readonly [string, number])[] {
+    const chosen: (readonly [string, number])[] = [];
+    for (const [id, sends] of gossip.entries()) {
+        if (chosen.length === count && sends <= chosen[count - 1]![1]) continue;
+        const index = chosen.findIndex(other => other[1] < sends);
+        chosen.splice(index < 0 ? chosen.length : index, 0, [id, sends]);
+        if (chosen.length > count) chosen.pop();
+    }
+    return chosen;
+}
+
+/** A suspicion or death of a member that it has to refute itself. */
+export function opinionOn(state: NodeState, id: string): MemberUpdate | undefined {
+    const entry = state.members.entries.get(id);
+    return entry === undefined || RANKS[entry.status] < RANKS.suspect ? undefined : updateOf(entry);
+}
+
+export interface MergeOptions {
+    /** A list from the far side of a healed partition calls all members of this side dead. */
+    readonly source: "gossip" | "list";
+    readonly now: number;
+}
+
+export function mergeUpdates(state: NodeState, updates: readonly MemberUpdate[], opts: MergeOptions): Step {
+    return updates.reduce(
+        (result, update) => andThen(result, next => merge(next, update, opts)),
+        step(state),
+    );
+}
+
+function merge(state: NodeState, update: MemberUpdate, opts: MergeOptions): Step {
+    const { member, status, refutation } = update;
+    if (member.id === state.self.id) {
+        const refutable = RANKS[status] >= RANKS.suspect && refutation >= state.members.refutation;
+        return step(refutable ? spreadOwn(state, refutation + 1) : state);
+    }
+    const entry = state.members.entries.get(member.id);
+    if (entry === undefined) {
+        if (status === "dead") return step(state);
+        return setStatus(state, createEntry(member, opts.now), update, opts);
+    }
+    const isNewer = refutation > entry.refutation
+        || (refutation === entry.refutation && RANKS[status] > RANKS[entry.status]);
+    if (!isNewer) return step(recheckIfDead(state, entry, update, opts));
+    if (opts.source === "list" && RANKS[status] >= RANKS.suspect) return step(state);
+    // A death that was not suspected here may come from a partition, so the member gets time to refute it.
+    const softened = status === "dead" && RANKS[entry.status] < RANKS.suspect
+        ? { ...update, status: "suspect" as const }
+        : update;
+    return setStatus(state, entry, softened, opts);
+}
+
+function recheckIfDead(
+    state: NodeState,
+    entry: MemberEntry,
+    update: MemberUpdate,
+    opts: MergeOptions,
+): NodeState {
+    const { recheck } = state.members;
+    const isDisputed = opts.source === "list" && entry.status === "dead"
+        && RANKS[update.status] < RANKS.suspect && update.refutation === entry.refutation;
+    if (!isDisputed || recheck.includes(entry.member.id)) return state;
+    return { ...state, members: { ...state.members, recheck: [...recheck, entry.member.id] } };
+}
+
+/**
+ * Takes over a status, starts or ends a suspicion, and passes the news on. News from a list are not passed on:
+ * the exchanges of lists carry them, and whole lists would hold up later news in the queue for minutes.
+ */
+export function setStatus(
+    state: NodeState,
+    entry: MemberEntry,
+    update: MemberUpdate,
+    opts: MergeOptions,
+): Step {
+    const { now } = opts;
+    const { status, refutation } = update;
+    const { id } = entry.member;
+    const next: MemberEntry = {
+        ...entry,
+        status,
+        refutation,
+        draining: entry.draining || status === "draining",
+        changedAt: now,
+    };
+    const put = putEntry(state.members, next);
+    if (!put.entries.has(id)) return step(state);
+    const suspects = status === "suspect"
+        ? put.suspects.set(id, now + suspicionMs(put.entries.size + 1))
+        : put.suspects.delete(id);
+    const effects: readonly Effect[] = status === entry.status
+        ? []
+        : [{ type: "log", event: "member", fields: { member: id, status } }];
+    const members = { ...put, suspects };
+    return step({ ...state, members: opts.source === "list" ? members : spread(members, id) }, ...effects);
+}
--- a/src/logReader.ts
+++ b/src/logReader.ts
@@ -3,6 +3,7 @@
 import { replayRecord } from "./controlLog.ts";
 import type { EventOf, EventStamp } from "./events.ts";
 import type { LogRecord } from "./logRecords.ts";
+import { learnViews } from "./membership.ts";
 import type { NodeState, Step } from "./state.ts";
 import { andThen, step } from "./state.ts";
 import { emptyMap } from "./util.ts";
@@ -39,6 +40,7 @@
         if (offset <= result.state.control.offset) continue;
         result = andThen(result, next => applyRecord(next, offset, record));
     }
+    if (event.atTail) result = { ...result, state: learnViews(result.state, event.now) };
     const tailAskedAt = event.atTail ? event.askedAt : result.state.logReader.tailAskedAt;
     const read = { ...result.state, logReader: { ...result.state.logReader, reading: false, tailAskedAt } };
     const proven = event.atTail
--- /dev/null
+++ b/src/memberSync.ts
@@ -0,0 +1,131 @@
+/** Exchange of full member lists: on first contact, and now and then so that halves of a partition meet again. */
+import { createHash } from "node:crypto";
+import type { EventOf, EventStamp } from "./events.ts";
+import { mergeUpdates, opinionOn, ownUpdate, updateOf } from "./gossip.ts";
+import { createEntry, forgetMembers, learnViews, putEntry } from "./membership.ts";
+import type { MemberUpdate, PeerRequest, PeerResponse } from "./peerMessages.ts";
+import { pickOne } from "./random.ts";
+import type { NodeState, Step } from "./state.ts";
+import { andThen, step } from "./state.ts";
+import type { Address } from "./types.ts";
+import { formatAddress, parseAddress } from "./types.ts";
+
+const SYNC_PERIOD_MS = 30_000;
+const FIRST_SYNC_RETRY_MS = 1_000;
+const SYNC_TIMEOUT_MS = 2_000;
+const TOKEN = "sync:";
+const BACK_TOKEN = "syncBack:";
+
+type SyncResponse = Extract<PeerResponse, { readonly type: "swim.sync"; }>;
+type SyncRequest = Extract<PeerRequest, { readonly type: "swim.sync"; }>;
+
+/** Starts an exchange when one is due. */
+export function syncMembers(state: NodeState, stamp: EventStamp): Step {
+    if (stamp.now < state.members.syncAt) return step(state);
+    const known = forgetMembers(learnViews(state, stamp.now), stamp.now);
+    const to = pickOne(
+        known.members.synced ? syncTargets(known, stamp.rand) : contacts(known),
+        stamp.rand * 2 % 1,
+    );
+    const period = known.members.synced ? SYNC_PERIOD_MS * (0.75 + stamp.rand / 2) : FIRST_SYNC_RETRY_MS;
+    const next = { ...known, members: { ...known.members, syncAt: stamp.now + period } };
+    if (to === undefined) return step(next);
+    return step(next, {
+        type: "send_rpc",
+        token: TOKEN + formatAddress(to),
+        to,
+        request: { type: "swim.sync", sender: state.self, updates: [], digests: digestsOf(next) },
+        timeoutMs: SYNC_TIMEOUT_MS,
+    });
+}
+
+/** Addresses for the first contact. */
+function contacts(state: NodeState): readonly Address[] {
+    const own = formatAddress(state.self.address);
+    const joins = state.joinAddresses.filter(address => formatAddress(address) !== own);
+    const known = state.members.entries.valueSeq().map(entry => entry.member.address).toArray();
+    return [...joins, ...known];
+}
+
+/** Half of the exchanges go to members held dead, if any: they may be alive behind a partition. */
+function syncTargets(state: NodeState, rand: number): readonly Address[] {
+    const { entries, byAddress } = state.members;
+    const current = entries.valueSeq().filter(({ member }) =>
+        byAddress.get(formatAddress(member.address)) === member.id
+    ).toArray();
+    const dead = current.filter(entry => entry.status === "dead");
+    if (current.length === 0) return contacts(state);
+    return (dead.length > 0 && rand < 0.5 ? dead : current).map(entry => entry.member.address);
+}
+
+/** Members are compared in buckets, so that one difference costs a part of the list and not all of it. */
+const BUCKETS = 32;
+
+function bucketOf(id: string): number {
+    return (id.charCodeAt(id.length - 1) * 31 + id.charCodeAt(0)) % BUCKETS;
+}
+
+/** One hash a bucket of the ids that this node holds alive. */
+function digestsOf(state: NodeState): readonly string[] {
+    const buckets: string[][] = Array.from({ length: BUCKETS }, () => []);
+    for (const { member } of liveUpdates(state)) buckets[bucketOf(member.id)]!.push(member.id);
+    return buckets.map(ids =>
+        ids.length === 0 ? "" : createHash("sha256").update(ids.sort().join()).digest("hex").slice(0, 8)
+    );
+}
+
+function liveUpdates(state: NodeState): readonly MemberUpdate[] {
+    const live = state.members.entries.valueSeq().filter(entry => entry.status !== "dead").map(updateOf);
+    return [ownUpdate(state), ...live];
+}
+
+export interface SyncAnswer {
+    readonly state: NodeState;
+    readonly response: PeerResponse;
+}
+
+export function answerSync(state: NodeState, request: SyncRequest, now: number): SyncAnswer {
+    const { sender } = request;
+    const opinion = opinionOn(state, sender.id);
+    const isKnown = sender.id === state.self.id || state.members.entries.has(sender.id);
+    const heard = isKnown
+        ? state
+        : { ...state, members: putEntry(state.members, createEntry(sender, now)) };
+    const digests = request.digests === undefined ? undefined : digestsOf(heard);
+    const list = digests === undefined ? [] : liveUpdates(heard).filter(({ member }) => {
+        const bucket = bucketOf(member.id);
+        return digests[bucket] !== request.digests?.[bucket];
+    });
+    const { state: merged } = mergeUpdates(heard, request.updates, { source: "list", now });
+    const updates = opinion === undefined ? list : [...list, opinion];
+    return { state: merged, response: { type: "swim.sync", updates, digests } };
+}
+
+export function onSynced(state: NodeState, event: EventOf<"rpc_ended">): Step {
+    const { response, token, now } = event;
+    if (response?.type !== "swim.sync" || !token.startsWith(TOKEN)) return step(state);
+    const merged = mergeUpdates(state, response.updates, { source: "list", now });
+    return andThen(merged, next => {
+        const synced = { ...next, members: { ...next.members, synced: true } };
+        return sendMissing(synced, response, token.slice(TOKEN.length));
+    });
+}
+
+/** Tells a peer of the members that its list lacks in the buckets that differ. */
+function sendMissing(state: NodeState, response: SyncResponse, address: string): Step {
+    const { host, port } = parseAddress(address);
+    const own = digestsOf(state);
+    const ids = new Set(response.updates.map(update => update.member.id));
+    const updates = liveUpdates(state).filter(({ member }) => {
+        const bucket = bucketOf(member.id);
+        return !ids.has(member.id) && response.digests?.[bucket] !== own[bucket];
+    });
+    if (updates.length === 0) return step(state);
+    return step(state, {
+        type: "send_rpc",
+        token: BACK_TOKEN + address,
+        to: { host, port },
+        request: { type: "swim.sync", sender: state.self, updates },
+        timeoutMs: SYNC_TIMEOUT_MS,
+    });
+}
--- a/src/membership.ts
+++ b/src/membership.ts
@@ -1,39 +1,184 @@
-/** Which members are alive, as far as this node knows. */
+/** Which members are alive, as far as this node knows: the state, its bounds, and what routing asks of it. */
 import type { Map } from "immutable";
 import type { MemberStatus } from "./peerMessages.ts";
 import type { NodeState } from "./state.ts";
 import type { Member } from "./types.ts";
+import { formatAddress } from "./types.ts";
 import { emptyMap } from "./util.ts";
 
+/** Upper bound on known members, about four times the target size; further ones are ignored. */
+const ENTRY_LIMIT = 4_096;
+/** Dead members outside all views are kept for longer than a partition of an hour, so that it can heal. */
+const FORGET_AFTER_MS = 2 * 3_600_000;
+
 export interface MemberEntry {
     readonly member: Member;
     readonly status: MemberStatus;
     readonly refutation: number;
+    /** Said by the member itself; an incarnation that drains never takes work again. */
+    readonly draining: boolean;
+    readonly changedAt: number;
+}
+
+/** The probe of the current period. */
+export interface Probe {
+    readonly seq: number;
+    readonly target: Member;
+    readonly indirectAt: number;
+    readonly indirect: boolean;
+    readonly acked: boolean;
+}
+
+/** A probe made for another node. */
+export interface ProbeRelay {
+    readonly targetId: string;
+    readonly requester: Member;
+    readonly requesterSeq: number;
 }
 
 export interface MembershipState {
     readonly entries: Map<string, MemberEntry>;
+    /** Id of the newest known incarnation at an address. */
+    readonly byAddress: Map<string, string>;
+    readonly byService: Map<string, readonly string[]>;
+    /** When each suspicion ends in a declaration of death. */
+    readonly suspects: Map<string, number>;
+    /** How often the latest update of a member is still to be sent. */
+    readonly gossip: Map<string, number>;
+    /** Members held dead here that a peer lists as alive; they are probed again. */
+    readonly recheck: readonly string[];
+    /** Refutation counter of this node's own incarnation. */
+    readonly refutation: number;
+    readonly seq: number;
+    readonly probe?: Probe | undefined;
+    readonly relays: Map<number, ProbeRelay>;
+    readonly periodAt?: number | undefined;
+    /** When the next wake is due; a much later one shows that this process was paused. */
+    readonly dueAt?: number | undefined;
+    readonly syncAt: number;
+    /** Whether a full list of members has been received. */
+    readonly synced: boolean;
 }
 
 export function createMembershipState(): MembershipState {
-    return { entries: emptyMap() };
+    return {
+        entries: emptyMap(),
+        byAddress: emptyMap(),
+        byService: emptyMap(),
+        suspects: emptyMap(),
+        gossip: emptyMap(),
+        recheck: [],
+        refutation: 0,
+        seq: 1,
+        relays: emptyMap(),
+        syncAt: 0,
+        synced: false,
+    };
 }
 
 /** All known members of a service: those of its view, and those heard of otherwise. */
 export function membersOf(state: NodeState, service: string): readonly Member[] {
     const viewed = state.control.views.get(service)?.members ?? [];
     const ids = new Set(viewed.map(member => member.id));
-    const heard = state.members.entries.valueSeq()
-        .filter(entry => entry.member.service === service && !ids.has(entry.member.id))
-        .map(entry => entry.member);
+    const heard = (state.members.byService.get(service) ?? [])
+        .filter(id => !ids.has(id))
+        .flatMap(id => state.members.entries.get(id)?.member ?? []);
     return [...viewed, ...heard];
 }
 
-/** Whether new work may be sent to a member. */
+/** Whether new work may be sent to a member: a suspected one gets none while others are there. */
 export function isRoutable(state: NodeState, member: Member): boolean {
+    if (!isReachable(state, member)) return false;
+    if (statusOfMember(state, member.id) !== "suspect") return true;
+    return !membersOf(state, member.service).some(other =>
+        isReachable(state, other) && statusOfMember(state, other.id) !== "suspect"
+    );
+}
+
+/** Whether a member can take work at all, for requests that no other member may run. */
+export function isReachable(state: NodeState, member: Member): boolean {
     if (member.id === state.self.id) {
         return !state.draining && state.target !== undefined && !state.target.lost;
     }
-    const status = state.members.entries.get(member.id)?.status ?? "alive";
-    return status === "alive" || status === "suspect";
+    const entry = state.members.entries.get(member.id);
+    return entry === undefined || (entry.status !== "dead" && !entry.draining);
+}
+
+/** A member that is only known from a view counts as alive until a probe fails. */
+export function statusOfMember(state: NodeState, id: string): MemberStatus {
+    return state.members.entries.get(id)?.status ?? "alive";
+}
+
+/** Adds a member or replaces its entry. A new incarnation supersedes the one that held its address. */
+export function putEntry(members: MembershipState, entry: MemberEntry): MembershipState {
+    const { member } = entry;
+    const known = members.entries.has(member.id);
+    if (!known && members.entries.size >= ENTRY_LIMIT) return members;
+    const address = formatAddress(member.address);
+    const incumbent = members.byAddress.get(address);
+    const takesAddress = incumbent === undefined || (incumbent !== member.id && entry.status !== "dead");
+    const cleared = takesAddress && incumbent !== undefined
+        ? supersede(members, incumbent, entry.changedAt)
+        : members;
+    const ids = cleared.byService.get(member.service) ?? [];
+    return {
+        ...cleared,
+        entries: cleared.entries.set(member.id, entry),
+        byAddress: takesAddress ? cleared.byAddress.set(address, member.id) : cleared.byAddress,
+        byService: known ? cleared.byService : cleared.byService.set(member.service, [...ids, member.id]),
+    };
+}
+
+function supersede(members: MembershipState, id: string, now: number): MembershipState {
+    const entry = members.entries.get(id);
+    if (entry === undefined || entry.status === "dead") return members;
+    return {
+        ...members,
+        entries: members.entries.set(id, { ...entry, status: "dead", changedAt: now }),
+        suspects: members.suspects.delete(id),
+        gossip: members.gossip.delete(id),
+    };
+}
+
+/** Adds the members that views list and that are not known yet. */
+export function learnViews(state: NodeState, now: number): NodeState {
+    let members = state.members;
+    for (const view of state.control.views.values()) {
+        for (const member of view.members) {
+            if (member.id === state.self.id || members.entries.has(member.id)) continue;
+            members = putEntry(members, createEntry(member, now));
+        }
+    }
+    return members === state.members ? state : { ...state, members };
+}
+
+export function createEntry(member: Member, now: number): MemberEntry {
+    return { member, status: "alive", refutation: 0, draining: false, changedAt: now };
+}
+
+/** Forgets members that have been dead for long and that no view lists. */
+export function forgetMembers(state: NodeState, now: number): NodeState {
+    const old = state.members.entries.filter(entry =>
+        entry.status === "dead" && entry.changedAt + FORGET_AFTER_MS <= now
+    );
+    if (old.isEmpty()) return state;
+    const viewed = new Set(state.control.views.valueSeq().flatMap(view => view.members.map(({ id }) => id)));
+    let members = state.members;
+    for (const { member } of old.values()) {
+        if (viewed.has(member.id)) continue;
+        const address = formatAddress(member.address);
+        const ids = (members.byService.get(member.service) ?? []).filter(id => id !== member.id);
+        members = {
+            ...members,
+            entries: members.entries.delete(member.id),
+            gossip: members.gossip.delete(member.id),
+            byAddress: members.byAddress.get(address) === member.id
+                ? members.byAddress.delete(address)
+                : members.byAddress,
+            byService: ids.length === 0
+                ? members.byService.delete(member.service)
+                : members.byService.set(member.service, ids),
+        };
+    }
+    return { ...state, members };
 }
--- a/src/peerMessages.ts
+++ b/src/peerMessages.ts
@@ -17,6 +17,7 @@
 /** What a node says of its own state on every probe. */
 export interface StateSummary {
     readonly configNumber: number;
+    readonly configId?: string | undefined;
     readonly logOffset: number;
 }
 
@@ -25,6 +26,9 @@
     readonly seq: number;
     readonly summary: StateSummary;
     readonly updates: readonly MemberUpdate[];
+    /** The sender's own refutation counter and state; absent for 0 and false. */
+    readonly refutation?: number | undefined;
+    readonly draining?: boolean | undefined;
 }
 
 export type PeerDatagram =
@@ -42,7 +46,13 @@
 }
 
 export type PeerRequest =
-    | { readonly type: "swim.sync"; readonly sender: Member; readonly updates: readonly MemberUpdate[]; }
+    | {
+        readonly type: "swim.sync";
+        readonly sender: Member;
+        readonly updates: readonly MemberUpdate[];
+        /** A hash a bucket of the ids that the sender holds alive; the answer lists the buckets that differ. */
+        readonly digests?: readonly string[] | undefined;
+    }
     | { readonly type: "control.state"; }
     | {
         readonly type: "view.back";
@@ -71,7 +81,11 @@
     };
 
 export type PeerResponse =
-    | { readonly type: "swim.sync"; readonly updates: readonly MemberUpdate[]; }
+    | {
+        readonly type: "swim.sync";
+        readonly updates: readonly MemberUpdate[];
+        readonly digests?: readonly string[] | undefined;
+    }
     | {
         readonly type: "control.state";
         /** Last log offset applied, -1 for none. */
--- /dev/null
+++ b/src/random.ts
@@ -0,0 +1,22 @@
+/** Several draws from the one random number of an event. */
+
+/**
+ * Picks up to `count` different items. Each pick uses up the leading bits of the number and leaves the rest,
+ * which is uniform again; 53 bits suffice for four picks of 4,096.
+ */
+export function pickSome<T>(items: readonly T[], count: number, rand: number): readonly T[] {
+    const left = [...items];
+    const picked: T[] = [];
+    let rest = rand;
+    while (picked.length < count && left.length > 0) {
+        const scaled = rest * left.length;
+        const index = Math.floor(scaled);
+        rest = scaled - index;
+        picked.push(...left.splice(index, 1));
+    }
+    return picked;
+}
+
+export function pickOne<T>(items: readonly T[], rand: number): T | undefined {
+    return items[Math.floor(rand * items.length)];
+}
--- a/src/reducer.ts
+++ b/src/reducer.ts
@@ -2,11 +2,13 @@
 import { expireCalls, onAttemptAnswered, onAttemptClosed, onCallCancelled, onCallStarted } from "./calls.ts";
 import type { EventOf, NodeEvent } from "./events.ts";
 import { onAppendEnded, onLogFailed, onLogGone, onLogRead, readOn } from "./logReader.ts";
+import { answerSync, onSynced } from "./memberSync.ts";
 import { onBacked, proposeJoin } from "./ownership.ts";
-import type { PeerResponse } from "./peerMessages.ts";
+import type { PeerRequest, PeerResponse } from "./peerMessages.ts";
 import { expireRuns, onRunAnswered, onRunCancelled, onRunEnded, onRunStarted } from "./runs.ts";
 import type { NodeState, Step } from "./state.ts";
 import { andThen, step } from "./state.ts";
+import { onDatagram, onMembershipWake } from "./swim.ts";
 import { assertNever } from "./types.ts";
 
 export function reduce(state: NodeState, event: NodeEvent): Step {
@@ -42,11 +44,11 @@
         case "append_ended":
             return onAppendEnded(state, event);
         case "datagram_received":
-            return step(state);
+            return onDatagram(state, event);
         case "rpc_received":
             return onRpcReceived(state, event);
         case "rpc_ended":
-            return onBacked(state, event);
+            return andThen(onBacked(state, event), next => onSynced(next, event));
         case "wake":
             return onWake(state, event);
         default:
@@ -68,6 +70,7 @@
     let result = expireCalls(state, event);
     result = andThen(result, next => expireRuns(next, event));
     result = andThen(result, next => proposeJoin(next, event));
+    result = andThen(result, next => onMembershipWake(next, event));
     return andThen(result, next => readOn(next, event));
 }
 
@@ -77,14 +80,18 @@
 }
 
 function onRpcReceived(state: NodeState, event: EventOf<"rpc_received">): Step {
-    return step(state, { type: "answer_rpc", token: event.token, response: answerRpc(state, event) });
+    if (event.request.type === "swim.sync") {
+        const { state: merged, response } = answerSync(state, event.request, event.now);
+        return step(merged, { type: "answer_rpc", token: event.token, response });
+    }
+    return step(state, { type: "answer_rpc", token: event.token, response: answerRpc(state, event.request) });
 }
 
-function answerRpc(state: NodeState, event: EventOf<"rpc_received">): PeerResponse {
-    const { request } = event;
+function answerRpc(
+    state: NodeState,
+    request: Exclude<PeerRequest, { readonly type: "swim.sync"; }>,
+): PeerResponse {
     switch (request.type) {
-        case "swim.sync":
-            return { type: "swim.sync", updates: [] };
         case "control.state":
             return {
                 type: "control.state",
--- a/src/schemas.ts
+++ b/src/schemas.ts
@@ -112,9 +112,12 @@
     seq: count,
     summary: v.strictObject({
         configNumber: count,
+        configId: v.optional(text),
         logOffset: v.pipe(v.number(), v.integer(), v.minValue(-1)),
     }),
     updates: v.pipe(v.array(memberUpdateSchema), v.maxLength(16)),
+    refutation: v.optional(count),
+    draining: v.optional(v.boolean()),
 };
 
 export const peerDatagramSchema = v.variant("type", [
@@ -129,10 +132,11 @@
     body: v.string(),
 });
 
+const digests = v.optional(v.pipe(v.array(v.pipe(v.string(), v.maxLength(64))), v.maxLength(32)));
 const updates = v.pipe(v.array(memberUpdateSchema), v.maxLength(5_000));
 
 export const peerRequestSchema = v.variant("type", [
-    v.strictObject({ type: v.literal("swim.sync"), sender: memberSchema, updates }),
+    v.strictObject({ type: v.literal("swim.sync"), sender: memberSchema, updates, digests }),
     v.strictObject({ type: v.literal("control.state") }),
     v.strictObject({
         type: v.literal("view.back"),
@@ -166,7 +170,7 @@
 ]);
 
 export const peerResponseSchema = v.variant("type", [
-    v.strictObject({ type: v.literal("swim.sync"), updates }),
+    v.strictObject({ type: v.literal("swim.sync"), updates, digests }),
     v.strictObject({
         type: v.literal("control.state"),
         offset: v.pipe(v.number(), v.integer(), v.minValue(-1)),
--- /dev/null
+++ b/src/swim.ts
@@ -0,0 +1,251 @@
+/** Failure detection: one probe a period, indirect probes through other members, then suspicion. */
+import type { Effect } from "./effects.ts";
+import type { EventOf, EventStamp } from "./events.ts";
+import {
+    mergeUpdates,
+    opinionOn,
+    ownUpdate,
+    setStatus,
+    suspicionMs,
+    takeUpdates,
+    updateOf,
+} from "./gossip.ts";
+import type { MembershipState, Probe } from "./membership.ts";
+import { createEntry } from "./membership.ts";
+import { syncMembers } from "./memberSync.ts";
+import type { MemberUpdate, PeerDatagram } from "./peerMessages.ts";
+import { pickOne, pickSome } from "./random.ts";
+import type { NodeState, Step } from "./state.ts";
+import { andThen, step } from "./state.ts";
+import type { Member } from "./types.ts";
+import { assertNever, formatAddress } from "./types.ts";
+
+const PERIOD_MS = 1_000;
+const INDIRECT_AFTER_MS = 300;
+const INDIRECT_PROBES = 3;
+/** A wake that is later than this shows that the process was paused, and its missing answers mean nothing. */
+const PAUSE_MS = 1_000;
+const RELAY_LIMIT = 64;
+/** Bound on probes a period besides the regular one. */
+const RECHECKS_PER_PERIOD = 3;
+const LAST_CHECK_MS = 2 * PERIOD_MS;
+
+/** Drives probes, suspicions and list exchanges; asks for its own next wake. */
+export function onMembershipWake(state: NodeState, stamp: EventStamp): Step {
+    const { now } = stamp;
+    const { periodAt, dueAt } = state.members;
+    if (periodAt === undefined) {
+        // A random phase spreads the probes of nodes that start together.
+        const started = { ...state.members, periodAt: now + stamp.rand * PERIOD_MS };
+        return scheduleNext({ ...state, members: started });
+    }
+    const isLate = dueAt !== undefined && now - dueAt > PAUSE_MS;
+    let result = step(isLate ? discardResults(state, now) : state);
+    result = andThen(result, next => probeIndirectly(next, stamp));
+    result = andThen(result, next => endSuspicions(next, now));
+    if (now >= periodAt) {
+        result = andThen(result, next => endProbe(next, now));
+        result = andThen(result, next => startProbe(next, stamp));
+        result = andThen(result, next => recheck(next, now));
+        result = andThen(result, next => syncMembers(next, stamp));
+    }
+    return andThen(result, scheduleNext);
+}
+
+function scheduleNext(state: NodeState): Step {
+    const { periodAt = 0, probe, suspects } = state.members;
+    const indirectAt = probe !== undefined && !probe.acked && !probe.indirect ? probe.indirectAt : Infinity;
+    const dueAt = Math.min(periodAt, indirectAt, ...suspects.values());
+    return step({ ...state, members: { ...state.members, dueAt } }, { type: "wake_at", at: dueAt });
+}
+
+function discardResults(state: NodeState, now: number): NodeState {
+    const until = now + suspicionMs(state.members.entries.size + 1);
+    const suspects = state.members.suspects.map(() => until);
+    return { ...state, members: { ...state.members, probe: undefined, suspects } };
+}
+
+function probeIndirectly(state: NodeState, stamp: EventStamp): Step {
+    const { probe } = state.members;
+    if (probe === undefined || probe.acked || probe.indirect || stamp.now < probe.indirectAt) {
+        return step(state);
+    }
+    const others = probeable(state).filter(member => member.id !== probe.target.id);
+    const helpers = pickSome(others, INDIRECT_PROBES, stamp.rand);
+    const marked = withMembers(state, { ...state.members, probe: { ...probe, indirect: true } });
+    return helpers.reduce(
+        (result, helper) =>
+            andThen(
+                result,
+                next => send(next, helper, { type: "swim.pingReq", seq: probe.seq, target: probe.target }),
+            ),
+        step(marked),
+    );
+}
+
+function endSuspicions(state: NodeState, now: number): Step {
+    let result = step(state);
+    for (const [id, until] of state.members.suspects) {
+        if (until > now) continue;
+        result = andThen(result, next => {
+            const entry = next.members.entries.get(id);
+            if (entry === undefined) return step(next);
+            return setStatus(next, entry, { ...updateOf(entry), status: "dead" }, { source: "gossip", now });
+        });
+    }
+    return result;
+}
+
+function endProbe(state: NodeState, now: number): Step {
+    const { probe } = state.members;
+    if (probe === undefined || probe.acked) return step(state);
+    const entry = state.members.entries.get(probe.target.id);
+    if (entry === undefined || entry.status === "suspect" || entry.status === "dead") return step(state);
+    return setStatus(state, entry, { ...updateOf(entry), status: "suspect" }, { source: "gossip", now });
+}
+
+function startProbe(state: NodeState, stamp: EventStamp): Step {
+    const { members } = state;
+    const target = pickOne(probeable(state), stamp.rand);
+    const probe: Probe | undefined = target === undefined ? undefined : {
+        seq: members.seq,
+        target,
+        indirectAt: stamp.now + INDIRECT_AFTER_MS,
+        indirect: false,
+        acked: false,
+    };
+    const periodAt = Math.max((members.periodAt ?? 0) + PERIOD_MS, stamp.now + PERIOD_MS / 2);
+    // Relays answer within a period or not at all.
+    const relays = members.relays.filter((_, seq) => seq >= members.seq - RELAY_LIMIT);
+    const started = withMembers(state, { ...members, probe, periodAt, relays, seq: members.seq + 1 });
+    return probe === undefined
+        ? step(started)
+        : send(started, probe.target, { type: "swim.ping", seq: probe.seq });
+}
+
+/** Probes disputed members, and suspects shortly before their end: a lost message must not decide on a death. */
+function recheck(state: NodeState, now: number): Step {
+    const { recheck, entries, suspects } = state.members;
+    const ending = [...suspects].filter(([, until]) => until <= now + LAST_CHECK_MS).map(([id]) => id);
+    const rest = withMembers(state, { ...state.members, recheck: recheck.slice(RECHECKS_PER_PERIOD) });
+    return [...ending, ...recheck].slice(0, RECHECKS_PER_PERIOD).reduce(
+        (result, id) => andThen(result, next => probeOnce(next, entries.get(id)?.member)),
+        step(rest),
+    );
+}
+
+/** Sends a probe whose missing answer has no consequence; an answer shows that the member is alive. */
+export function probeOnce(state: NodeState, member: Member | undefined): Step {
+    if (member === undefined) return step(state);
+    const { seq } = state.members;
+    const next = withMembers(state, { ...state.members, seq: seq + 1 });
+    return send(next, member, { type: "swim.ping", seq });
+}
+
+function probeable(state: NodeState): readonly Member[] {
+    const others: Member[] = [];
+    for (const { member, status } of state.members.entries.values()) {
+        if (status !== "dead") others.push(member);
+    }
+    return others;
+}
+
+export function onDatagram(state: NodeState, event: EventOf<"datagram_received">): Step {
+    const { datagram, now } = event;
+    const { sender } = datagram;
+    if (sender.id === state.self.id || formatAddress(sender.address) === formatAddress(state.self.address)) {
+        return step(state);
+    }
+    const opinion = opinionOn(state, sender.id);
+    const counted: Effect = { type: "count", counter: "control_messages", label: datagram.type };
+    let result = andThen(step(state, counted), next => hear(next, datagram, now));
+    result = andThen(result, next => mergeUpdates(next, datagram.updates, { source: "gossip", now }));
+    return andThen(result, next => answer(next, datagram, opinion));
+}
+
+/**
+ * What a message says of its sender. Only an answer shows that a link works both ways, so a message that the
+ * sender began does not end a suspicion: the reply tells the sender of it, and the sender refutes it.
+ */
+function hear(state: NodeState, datagram: PeerDatagram, now: number): Step {
+    const { sender, refutation = 0, draining = false } = datagram;
+    const entry = state.members.entries.get(sender.id);
+    const update: MemberUpdate = { member: sender, status: draining ? "draining" : "alive", refutation };
+    if (entry === undefined) {
+        return setStatus(state, createEntry(sender, now), update, { source: "gossip", now });
+    }
+    const isDown = entry.status === "dead" || entry.status === "suspect";
+    if (refutation > entry.refutation || (draining && !entry.draining && !isDown)) {
+        return setStatus(state, entry, update, { source: "gossip", now });
+    }
+    if (!isDown || datagram.type !== "swim.ack") return step(state);
+    return setStatus(state, entry, { ...update, refutation: entry.refutation }, { source: "gossip", now });
+}
+
+function answer(state: NodeState, datagram: PeerDatagram, opinion: MemberUpdate | undefined): Step {
+    switch (datagram.type) {
+        case "swim.ping":
+            return send(state, datagram.sender, { type: "swim.ack", seq: datagram.seq }, opinion);
+        case "swim.pingReq":
+            return relayProbe(state, datagram);
+        case "swim.ack":
+            return onAck(state, datagram);
+        default:
+            return assertNever(datagram);
+    }
+}
+
+function relayProbe(state: NodeState, datagram: PeerDatagram & { readonly type: "swim.pingReq"; }): Step {
+    const { members } = state;
+    if (members.relays.size >= RELAY_LIMIT) {
+        return step(state, { type: "count", counter: "bad_messages", label: "relay-limit" });
+    }
+    const relay = {
+        targetId: datagram.target.id,
+        requester: datagram.sender,
+        requesterSeq: datagram.seq,
+    };
+    const relays = members.relays.set(members.seq, relay);
+    return probeOnce(withMembers(state, { ...members, relays }), datagram.target);
+}
+
+function onAck(state: NodeState, datagram: PeerDatagram): Step {
+    const { members } = state;
+    const { probe } = members;
+    const { sender, seq } = datagram;
+    const relay = members.relays.get(seq);
+    if (relay !== undefined) {
+        const done = withMembers(state, { ...members, relays: members.relays.delete(seq) });
+        if (sender.id !== relay.targetId) return step(done);
+        return send(done, relay.requester, { type: "swim.ack", seq: relay.requesterSeq });
+    }
+    if (probe?.seq !== seq) return step(state);
+    // Another incarnation at the target's address answers for itself only; it has superseded the target.
+    return step(withMembers(state, { ...members, probe: { ...probe, acked: true } }));
+}
+
+type Message =
+    | { readonly type: "swim.ping" | "swim.ack"; readonly seq: number; }
+    | { readonly type: "swim.pingReq"; readonly seq: number; readonly target: Member; };
+
+function send(state: NodeState, to: Member, message: Message, opinion?: MemberUpdate): Step {
+    const { members, updates } = takeUpdates(state, to, opinion);
+    const { config, offset } = state.control;
+    const { status, refutation } = ownUpdate(state);
+    const base = {
+        sender: state.self,
+        summary: { configNumber: config?.number ?? 0, configId: config?.id, logOffset: offset },
+        updates,
+        refutation,
+        ...(status === "draining" ? { draining: true } : {}),
+    };
+    return step(withMembers(state, members), {
+        type: "send_datagram",
+        to: to.address,
+        datagram: { ...message, ...base },
+    });
+}
+
+function withMembers(state: NodeState, members: MembershipState): NodeState {
+    return { ...state, members };
+}
--- a/src/types.ts
+++ b/src/types.ts
@@ -14,6 +14,12 @@
     return `${address.host}:${address.port}`;
 }
 
+/** The inverse of `formatAddress`. */
+export function parseAddress(text: string): Address {
+    const colon = text.lastIndexOf(":");
+    return { host: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
+}
+
 /** One incarnation of a node: its id is random and made at start, so that a restart is a new member. */
 export interface Member {
     readonly id: string;
--- a/test/fakes/fakeNode.ts
+++ b/test/fakes/fakeNode.ts
@@ -7,6 +7,7 @@
 import type { LoadReport, Member, Outcome } from "../../src/types.ts";
 import { assertNever, notRun, unknown } from "../../src/types.ts";
 import { FakeTarget } from "./fakeTarget.ts";
+import { DATAGRAM_ENVELOPE_BYTES, RPC_ENVELOPE_BYTES, Traffic } from "./traffic.ts";
 import type { NodeSpec, Told, World } from "./world.ts";
 
 type EffectOf<T extends Effect["type"]> = Extract<Effect, { readonly type: T; }>;
@@ -41,7 +42,7 @@
     onEffect: (effect: Effect) => void = () => undefined;
     readonly counts = new Map<string, number>();
     readonly member: Member;
-    bytesSent = 0;
+    readonly traffic = new Traffic();
     private readonly world: World;
     private nextId = 1;
     private wakeAt = Infinity;
@@ -352,10 +353,11 @@
     }
 
     private sendDatagram(effect: EffectOf<"send_datagram">): void {
-        this.bytesSent += JSON.stringify(effect.datagram).length;
+        const bytes = this.traffic.sent(effect.datagram, DATAGRAM_ENVELOPE_BYTES);
         const peer = this.world.nodeAt(effect.to);
-        if (peer === undefined) return;
+        if (peer === undefined || this.world.dropsDatagram(this, peer)) return;
         this.world.deliver(this, peer, () => {
+            peer.traffic.received(bytes);
             peer.dispatch({
                 type: "datagram_received",
                 from: this.member.address,
@@ -374,9 +376,17 @@
         };
         const peer = this.world.nodeAt(effect.to);
         if (peer !== undefined && !this.world.isCut(this, peer)) {
+            const bytes = this.traffic.sent(effect.request, RPC_ENVELOPE_BYTES);
             this.world.deliver(this, peer, () => {
                 const token = peer.nextId++;
-                peer.rpcs.set(token, response => this.world.deliver(peer, this, () => end(response)));
+                peer.traffic.received(bytes);
+                peer.rpcs.set(token, response => {
+                    const answerBytes = peer.traffic.sent(response, RPC_ENVELOPE_BYTES);
+                    this.world.deliver(peer, this, () => {
+                        this.traffic.received(answerBytes);
+                        end(response);
+                    });
+                });
                 peer.dispatch({ type: "rpc_received", token, request: effect.request });
             });
         }
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -5,6 +5,7 @@
 import { reduce as reduceNode } from "../../src/reducer.ts";
 import type { NodeState, Step } from "../../src/state.ts";
 import type { Configuration, Kind, Member, NotRun, Unknown } from "../../src/types.ts";
+import { formatAddress } from "../../src/types.ts";
 import { FakeLog } from "./fakeLog.ts";
 import { FakeNode } from "./fakeNode.ts";
 import type { FakeTargetOptions } from "./fakeTarget.ts";
@@ -50,6 +51,9 @@
     /** Pairs of nodes that cannot reach each other; a node and "log" for the log. */
     readonly cut = new Set<string>();
     readonly opts: WorldOptions;
+    /** Whether the network loses a datagram; it may differ by direction. */
+    dropsDatagram: (from: FakeNode, to: FakeNode) => boolean = () => false;
+    private readonly byAddress = new Map<string, FakeNode>();
     private nextPort = FIRST_PORT;
 
     constructor(opts: WorldOptions) {
@@ -72,16 +76,15 @@
         };
         const node = new FakeNode(this, member, spec);
         this.nodes.push(node);
+        this.byAddress.set(formatAddress(member.address), node);
         node.start();
         return node;
     }
 
     /** The running node at an address. */
     nodeAt(address: Member["address"]): FakeNode | undefined {
-        return this.nodes.find(node =>
-            node.alive && node.member.address.port === address.port
-            && node.member.address.host === address.host
-        );
+        const node = this.byAddress.get(formatAddress(address));
+        return node?.alive === true ? node : undefined;
     }
 
     /** Sends a request to the entry of a node; calls back once. */
--- /dev/null
+++ b/test/support/clusters.ts
@@ -0,0 +1,85 @@
+/** Worlds of many nodes for the tests and programs on control traffic. */
+import { createEntry, createMembershipState, putEntry } from "../../src/membership.ts";
+import type { FakeNode } from "../fakes/fakeNode.ts";
+import type { NodeSpec, WorldOptions } from "../fakes/world.ts";
+import { World } from "../fakes/world.ts";
+
+const DATA_CENTRES = ["a", "b", "c", "d"];
+const NODES_PER_SERVICE = 10;
+const FIRST_PORT = 7_000;
+
+export interface ClusterOptions extends Omit<WorldOptions, "seed"> {
+    readonly size: number;
+    readonly seed?: number;
+    /** Start with the log down and one join address. */
+    readonly logDown?: boolean;
+    /** Each node knows all others at the start. */
+    readonly acquainted?: boolean;
+    readonly spec?: Partial<NodeSpec>;
+}
+
+/** Nodes of services `s0`, `s1`, ... of ten instances over four data centres, started at once. */
+export function createCluster(opts: ClusterOptions): World {
+    const world = new World({ ...opts, seed: opts.seed ?? 1 });
+    world.log.outage = opts.logDown ?? false;
+    for (let i = 0; i < opts.size; i++) addInstance(world, i, opts.spec);
+    if (opts.acquainted ?? false) acquaint(world);
+    return world;
+}
+
+function acquaint(world: World): void {
+    const all = world.nodes.reduce(
+        (members, { member }) => putEntry(members, createEntry(member, 0)),
+        createMembershipState(),
+    );
+    for (const node of world.nodes) {
+        const { id, service } = node.member;
+        const members = {
+            ...all,
+            entries: all.entries.delete(id),
+            byService: all.byService.update(service, [], ids => ids.filter(other => other !== id)),
+            periodAt: node.state.members.periodAt,
+            dueAt: node.state.members.dueAt,
+            syncAt: world.scheduler.random() * 30_000,
+            synced: true,
+        };
+        node.state = { ...node.state, members };
+    }
+}
+
+export function addInstance(world: World, index: number, spec: Partial<NodeSpec> = {}): FakeNode {
+    return world.addNode({
+        service: `s${Math.floor(index / NODES_PER_SERVICE)}`,
+        dataCentre: DATA_CENTRES[index % DATA_CENTRES.length]!,
+        target: { slots: 10, serviceMs: 5 },
+        joinAddresses: [{ host: "10.0.0.1", port: FIRST_PORT }],
+        ...spec,
+    });
+}
+
+/** Starts a new incarnation at the address of a node that has ended. */
+export function restart(world: World, node: FakeNode, spec: Partial<NodeSpec> = {}): FakeNode {
+    node.killHost();
+    const { service, dataCentre, address } = node.member;
+    return addInstance(world, 0, { service, dataCentre, address, ...spec });
+}
+
+export interface Rates {
+    readonly messagesSent: number;
+    readonly bytesSent: number;
+    readonly messagesReceived: number;
+    readonly bytesReceived: number;
+}
+
+/** Control traffic a second of each node over a stretch of virtual time. */
+export function measureRates(world: World, durationMs: number): readonly Rates[] {
+    const before = world.nodes.map(node => ({ ...node.traffic }));
+    world.run(durationMs);
+    const seconds = durationMs / 1_000;
+    return world.nodes.map(({ traffic }, index) => ({
+        messagesSent: (traffic.messagesSent - before[index]!.messagesSent) / seconds,
+        bytesSent: (traffic.bytesSent - before[index]!.bytesSent) / seconds,
+        messagesReceived: (traffic.messagesReceived - before[index]!.messagesReceived) / seconds,
+        bytesReceived: (traffic.bytesReceived - before[index]!.bytesReceived) / seconds,
+    }));
+}
