--- a/src/commands/diff.ts
+++ b/src/commands/diff.ts
@@ -48,7 +48,7 @@
 
 /** The highest version that one of the nodes has. */
 async function readFromNodes(nodes: readonly Address[]): Promise<ConfigVersion | undefined> {
-    const states = await Promise.all(nodes.map(readNodeState));
+    const states = await Promise.all(nodes.map(node => readNodeState(node)));
     const silent = nodes.filter((_, index) => states[index] === undefined);
     if (silent.length > 0) {
         throw new CommandError(silent.map(node => ({
--- a/src/logReader.ts
+++ b/src/logReader.ts
@@ -4,6 +4,7 @@
 import type { EventOf, EventStamp } from "./events.ts";
 import { noteView } from "./handover.ts";
 import type { LogRecord } from "./logRecords.ts";
+import { learnViews } from "./membership.ts";
 import type { NodeState, Step } from "./state.ts";
 import { andThen, step } from "./state.ts";
 import { emptyMap } from "./util.ts";
@@ -40,6 +41,7 @@
         if (offset <= result.state.control.offset) continue;
         result = andThen(result, next => applyRecord(next, offset, record, event.now));
     }
+    if (event.atTail) result = { ...result, state: learnViews(result.state, event.now) };
     const tailAskedAt = event.atTail ? event.askedAt : result.state.logReader.tailAskedAt;
     const read = { ...result.state, logReader: { ...result.state.logReader, reading: false, tailAskedAt } };
     const proven = event.atTail
--- a/src/reducer.ts
+++ b/src/reducer.ts
@@ -4,12 +4,14 @@
 import type { EventOf, NodeEvent } from "./events.ts";
 import { onHandover, onHandoverAnswered } from "./handover.ts";
 import { onAppendEnded, onLogFailed, onLogGone, onLogRead, readOn } from "./logReader.ts";
+import { answerSync, onSynced } from "./memberSync.ts";
 import { withOwnership } from "./ownership.ts";
 import type { PeerResponse } from "./peerMessages.ts";
 import { answerPromise, answerRelay, onProofAnswered } from "./proofs.ts";
 import { expireRuns, onRunAnswered, onRunCancelled, onRunEnded, onRunStarted } from "./runs.ts";
 import type { NodeState, Step } from "./state.ts";
 import { andThen, step } from "./state.ts";
+import { onDatagram, onMembershipWake } from "./swim.ts";
 import { assertNever } from "./types.ts";
 import { back, onBacked } from "./views.ts";
 import { hasLeft, keepOwnership } from "./waits.ts";
@@ -56,7 +58,7 @@
         case "append_ended":
             return onAppendEnded(state, event);
         case "datagram_received":
-            return step(state);
+            return onDatagram(state, event);
         case "rpc_received":
             return onRpcReceived(state, event);
         case "rpc_ended":
@@ -81,6 +83,7 @@
 function onWake(state: NodeState, event: EventOf<"wake">): Step {
     let result = expireCalls(state, event);
     result = andThen(result, next => expireRuns(next, event));
+    result = andThen(result, next => onMembershipWake(next, event));
     return andThen(result, next => readOn(next, event));
 }
 
@@ -92,7 +95,8 @@
 function onRpcEnded(state: NodeState, event: EventOf<"rpc_ended">): Step {
     const backed = onBacked(state, event);
     const proven = andThen(backed, next => onProofAnswered(next, event));
-    return andThen(proven, next => onHandoverAnswered(next, event));
+    const handed = andThen(proven, next => onHandoverAnswered(next, event));
+    return andThen(handed, next => onSynced(next, event));
 }
 
 function onRpcReceived(state: NodeState, event: EventOf<"rpc_received">): Step {
@@ -123,7 +127,7 @@
         case "view.relay":
             return { state, response: answerRelay(state, now) };
         case "swim.sync":
-            return { state, response: { type: "swim.sync", updates: [] } };
+            return answerSync(state, request, now);
         case "control.state":
             return {
                 state,
--- a/test/fakes/bookings.ts
+++ b/test/fakes/bookings.ts
@@ -1,5 +1,6 @@
 /** A world with one service whose requests must not run twice, and a failure detector that is always right. */
 import { ownerOf } from "../../src/keys.ts";
+import { createEntry } from "../../src/membership.ts";
 import type { FakeNode } from "./fakeNode.ts";
 import type { NodeSpec, Told } from "./world.ts";
 import { createConfiguration, createKind, World } from "./world.ts";
@@ -105,7 +106,7 @@
                 const status = now - this.lastSeen.get(name)! >= DEAD_AFTER_MS ? "dead" : "alive";
                 const { members } = observer.state;
                 if ((members.entries.get(other.member.id)?.status ?? "alive") === status) continue;
-                const entry = { member: other.member, status, refutation: 0 } as const;
+                const entry = { ...createEntry(other.member, now), status } as const;
                 const entries = members.entries.set(other.member.id, entry);
                 observer.state = { ...observer.state, members: { ...members, entries } };
             }
--- a/test/ownershipViews.test.ts
+++ b/test/ownershipViews.test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 import { createNodeState } from "../src/initialState.ts";
 import { callerKey, isExpired, ownerOf, parseMintedKey, uuidAgeMs } from "../src/keys.ts";
+import { createEntry } from "../src/membership.ts";
 import { answerPromise } from "../src/proofs.ts";
 import { back } from "../src/views.ts";
 import { pickVoters } from "../src/voters.ts";
@@ -91,7 +92,7 @@
         const member = createMember("b");
         const request = { type: "view.back", service: "booking", baseVersion: 3, change: "exclude" } as const;
         expect(back(state, { ...request, members: [member] }).backers).to.deep.equal([]);
-        const entries = state.members.entries.set("b", { member, status: "dead", refutation: 0 });
+        const entries = state.members.entries.set("b", { ...createEntry(member, 0), status: "dead" });
         const seen = { ...state, members: { ...state.members, entries } };
         expect(back(seen, { ...request, members: [member] }).backers).to.deep.equal(["a"]);
     });
