--- a/src/calls.ts
+++ b/src/calls.ts
@@ -5,7 +5,10 @@
 import type { Map } from "immutable";
 import type { Effect } from "./effects.ts";
 import type { CallStarted, EventOf, EventStamp } from "./events.ts";
+import { isExpired } from "./keys.ts";
+import { chooseKey, keepKey, keepNewKey, mintAgain } from "./minting.ts";
 import { levelOf } from "./priority.ts";
+import { areEgressKeysFull, horizonOf } from "./records.ts";
 import { shareOf } from "./retries.ts";
 import { chooseMember, onAttemptEnded, onAttemptSent } from "./routing.ts";
 import { findParentRun, poolOfRun, setPoolOfRun } from "./runs.ts";
@@ -14,6 +17,7 @@
 import type { Kind, LoadReport, Member, NotRun, Outcome, RefusalReason, Unknown } from "./types.ts";
 import { assertNever, notRun, unknown } from "./types.ts";
 import { emptyMap } from "./util.ts";
+import { awaitsView, waitForView } from "./waits.ts";
 
 /** Redirects that one call follows; each marks a member for all later calls, so that few calls need one. */
 const REDIRECT_LIMIT = 2;
@@ -39,6 +43,7 @@
     readonly kind: Kind;
     readonly level: number;
     readonly key?: string | undefined;
+    readonly keptAs?: string | undefined;
     readonly deadlineAt: number;
     readonly depth: number;
     readonly pool: Pool;
@@ -62,19 +67,22 @@
 
 export function onCallStarted(state: NodeState, event: EventOf<"call_started">): Step {
     const created = createCall(state, event);
-    if (created.type === "not-run") {
+    if (created.type !== "call") {
         return step(state, ...refusal(event.call, created));
     }
     const { call } = created;
     const counted: Effect[] = [{ type: "count", counter: "calls", label: call.kind.name }];
     if (!event.tracked) counted.push({ type: "count", counter: "untracked_calls", label: event.service });
     return andThen(
-        step(putCall(state, call), ...counted, { type: "wake_at", at: call.deadlineAt }),
+        step(keepKey(putCall(state, call), call, event.now), ...counted, {
+            type: "wake_at",
+            at: call.deadlineAt,
+        }),
         next => sendAttempt(next, call, event),
     );
 }
 
-type Created = { readonly type: "call"; readonly call: Call; } | NotRun;
+type Created = { readonly type: "call"; readonly call: Call; } | NotRun | Unknown;
 
 function createCall(state: NodeState, event: CallStarted & EventStamp): Created {
     if (state.control.config === undefined) return notRun("no-configuration", 1_000);
@@ -87,6 +95,13 @@
     if (kind === undefined || (event.from === "entry" && !kind.external)) return notRun("unknown-kind");
     const ownDeadlineMs = Math.min(event.deadlineMs ?? kind.deadlineMs, kind.deadlineMs);
     const deadlineAt = Math.min(event.now + ownDeadlineMs, parent?.deadlineAt ?? Infinity);
+    const level = levelOf(kind, event.requestId);
+    if (
+        kind.nonIdempotent && event.keyAgeMs !== undefined
+        && isExpired(event.keyAgeMs, horizonOf(state), kind.deadlineMs)
+    ) return unknown("key-expired");
+    const chosen = chooseKey(state, event, kind, level);
+    if (chosen.keptAs !== undefined && areEgressKeysFull(state)) return notRun("records-full", 1_000);
     return {
         type: "call",
         call: {
@@ -94,8 +109,8 @@
             service: event.service,
             requestId: event.requestId,
             kind,
-            level: levelOf(kind, event.requestId),
-            key: kind.nonIdempotent ? event.key ?? `${event.requestId}:${event.fingerprint}` : undefined,
+            level,
+            ...chosen,
             deadlineAt,
             depth: (parent?.ctx.depth ?? 0) + 1,
             pool: poolFor(event, kind, parent?.id),
@@ -113,7 +128,9 @@
     return { type: "own", retries: event.from === "entry" ? kind.retries : 0 };
 }
 
-function sendAttempt(state: NodeState, call: Call, stamp: EventStamp): Step {
+export function sendAttempt(old: NodeState, oldCall: Call, stamp: EventStamp): Step {
+    const call = mintAgain(old, oldCall, stamp);
+    const state = call === oldCall ? old : keepNewKey(old, call);
     const remainingMs = call.deadlineAt - stamp.now;
     if (remainingMs <= 0) return endCall(state, call, notRun("deadline"));
     const choice = chooseMember(state, {
@@ -191,6 +208,9 @@
 function afterFailure(state: NodeState, call: Call, outcome: NotRun | Unknown, stamp: EventStamp): Step {
     const marked: Call = outcome.type === "unknown" ? { ...call, mayHaveRun: outcome } : call;
     if (!call.replayable) return endCall(state, marked, outcome);
+    if (outcome.type === "not-run" && awaitsView(state, call, outcome)) {
+        return waitForView(putCall(state, marked), marked, stamp);
+    }
     if (outcome.type === "not-run" && isRedirect(outcome.reason)) {
         if (call.redirects >= REDIRECT_LIMIT) return endCall(state, marked, outcome);
         const redirected = { ...marked, redirects: call.redirects + 1 };
--- a/src/controlLog.ts
+++ b/src/controlLog.ts
@@ -60,7 +60,8 @@
 function replayView(state: ControlState, offset: number, record: ViewRecord): Replayed {
     const current = state.views.get(record.service);
     if (record.baseVersion !== (current?.version ?? 0)) return { state, verdict: "superseded" };
-    if (current !== undefined && !hasMajority(current, record.backers)) return { state, verdict: "unbacked" };
+    const needsBackers = current !== undefined && current.voters.length > 0;
+    if (needsBackers && !hasMajority(current, record.backers)) return { state, verdict: "unbacked" };
     const changed = new Set(record.members.map(member => member.id));
     const kept = (current?.members ?? []).filter(member => !changed.has(member.id));
     const view: View = {
--- a/src/crashes.ts
+++ b/src/crashes.ts
@@ -1,12 +1,153 @@
-/** Requests that were in progress when targets crashed. */
+/**
+ * Requests that were in progress when targets crashed. A request that was in progress at two crashes is the
+ * likely cause of both: it is blocked, and the others are cleared.
+ */
 import type { Map } from "immutable";
+import type { Effect } from "./effects.ts";
+import type { EventOf, EventStamp } from "./events.ts";
+import type { Entry } from "./ownership.ts";
+import type { PeerRequest } from "./peerMessages.ts";
+import { horizonOf } from "./records.ts";
+import type { Run } from "./runs.ts";
+import type { NodeState, Step } from "./state.ts";
+import { step } from "./state.ts";
+import { notRun } from "./types.ts";
 import { emptyMap } from "./util.ts";
 
+const SUSPECT_LIMIT = 512;
+/** Connections that break within this time of each other belong to one crash. */
+const CRASH_WINDOW_MS = 1_000;
+const REPORT_TIMEOUT_MS = 500;
+
+export interface Suspect {
+    readonly crashes: readonly string[];
+    readonly at: number;
+}
+
 export interface CrashesState {
-    /** Crash ids by fingerprint of the requests in progress. */
-    readonly suspects: Map<string, readonly string[]>;
+    /** By fingerprint of the requests in progress. */
+    readonly suspects: Map<string, Suspect>;
+    /** The crash of the local target that is going on. */
+    readonly current?: { readonly id: string; readonly at: number; } | undefined;
 }
 
 export function createCrashesState(): CrashesState {
     return { suspects: emptyMap() };
 }
+
+type CrashReport = Extract<PeerRequest, { readonly type: "crashes.report"; }>;
+
+function isBlocked(suspect: Suspect): boolean {
+    return suspect.crashes.length > 1;
+}
+
+/** Refuses a blocked request, and lets a suspect wait while another one is at the target. */
+export function blockedOrAlone(
+    state: NodeState,
+    run: Run,
+    stamp: EventStamp,
+): Extract<Entry, { readonly type: "park" | "end"; }> | undefined {
+    const suspect = findSuspect(state, run.fingerprint, stamp.now);
+    if (suspect === undefined) return undefined;
+    if (isBlocked(suspect)) return { type: "end", outcome: notRun("crashes-targets") };
+    const other = state.runs.runs.some(found =>
+        found.phase !== "queued" && found.id !== run.id
+        && findSuspect(state, found.fingerprint, stamp.now) !== undefined
+    );
+    return other ? { type: "park", until: run.deadlineAt } : undefined;
+}
+
+function findSuspect(state: NodeState, fingerprint: string, now: number): Suspect | undefined {
+    const suspect = state.crashes.suspects.get(fingerprint);
+    return suspect !== undefined && suspect.at + horizonOf(state) > now ? suspect : undefined;
+}
+
+/**
+ * Notes that the local target has crashed or broken a connection: all requests in progress become suspects, in
+ * one report that leaves before the first of them can be sent to another target.
+ */
+export function noteCrash(state: NodeState, now: number): Step {
+    const { current } = state.crashes;
+    if (current !== undefined && now < current.at + CRASH_WINDOW_MS) return step(state);
+    const id = `${state.self.id}:${Math.floor(now)}`;
+    const fingerprints = state.runs.runs.valueSeq().filter(run => run.phase !== "queued")
+        .map(run => run.fingerprint).toSet().take(SUSPECT_LIMIT).toArray();
+    if (fingerprints.length === 0) return step(state);
+    const noted = { ...state, crashes: { ...state.crashes, current: { id, at: now } } };
+    return step(accuse(noted, id, fingerprints, now), ...report(state, id, fingerprints, []));
+}
+
+/** Notes how a run ended: at a crash, or in a way that clears its request. */
+export function noteRunEnd(state: NodeState, run: Run, event: EventOf<"run_ended">): Step {
+    const { outcome } = event;
+    if (outcome.type === "unknown" && outcome.reason === "target-crashed") return noteCrash(state, event.now);
+    const suspect = state.crashes.suspects.get(run.fingerprint);
+    if (outcome.type === "unknown" || suspect === undefined || isBlocked(suspect)) return step(state);
+    return step(clear(state, [run.fingerprint]), ...report(state, "none", [], [run.fingerprint]));
+}
+
+/** Takes another node's report. */
+export function onCrashReport(state: NodeState, request: CrashReport, now: number): NodeState {
+    return clear(accuse(state, request.crash, request.suspects, now), request.cleared);
+}
+
+function accuse(
+    state: NodeState,
+    crash: string,
+    fingerprints: readonly string[],
+    now: number,
+): NodeState {
+    let next = state;
+    for (const fingerprint of fingerprints) {
+        const known = findSuspect(next, fingerprint, now)?.crashes ?? [];
+        const crashes = known.includes(crash) ? known : [...known, crash];
+        next = withSuspects(
+            next,
+            boundSuspects(next.crashes.suspects.set(fingerprint, { crashes, at: now })),
+        );
+    }
+    return clearExplained(next);
+}
+
+/** A crash in which a blocked request took part is explained by it. */
+function clearExplained(state: NodeState): NodeState {
+    const { suspects } = state.crashes;
+    const explained = new Set(suspects.valueSeq().filter(isBlocked).flatMap(suspect => suspect.crashes));
+    if (explained.size === 0) return state;
+    return withSuspects(
+        state,
+        suspects.filter(suspect => isBlocked(suspect) || !suspect.crashes.every(id => explained.has(id))),
+    );
+}
+
+function boundSuspects(suspects: Map<string, Suspect>): Map<string, Suspect> {
+    if (suspects.size <= SUSPECT_LIMIT) return suspects;
+    const oldest = suspects.entrySeq().minBy(([, suspect]) => suspect.at);
+    return oldest === undefined ? suspects : suspects.delete(oldest[0]);
+}
+
+function clear(state: NodeState, fingerprints: readonly string[]): NodeState {
+    return fingerprints.length === 0
+        ? state
+        : withSuspects(state, state.crashes.suspects.deleteAll(fingerprints));
+}
+
+function withSuspects(state: NodeState, suspects: Map<string, Suspect>): NodeState {
+    return { ...state, crashes: { ...state.crashes, suspects } };
+}
+
+function report(
+    state: NodeState,
+    crash: string,
+    suspects: readonly string[],
+    cleared: readonly string[],
+): readonly Effect[] {
+    const members = state.control.views.get(state.self.service)?.members ?? [];
+    return members.filter(member => member.id !== state.self.id).map(member => ({
+        type: "send_rpc",
+        token: "crash",
+        to: member.address,
+        timeoutMs: REPORT_TIMEOUT_MS,
+        request: { type: "crashes.report", sender: state.self.id, crash, suspects, cleared },
+    }));
+}
--- a/src/events.ts
+++ b/src/events.ts
@@ -23,6 +23,8 @@
     /** As claimed by the sender; checked against the configuration. */
     readonly kind?: string | undefined;
     readonly key?: string | undefined;
+    /** Age of a UUIDv7 key by the node's wall clock. */
+    readonly keyAgeMs?: number | undefined;
     readonly deadlineMs?: number | undefined;
     /** False when the body was too large to be kept for another attempt. */
     readonly replayable: boolean;
--- a/src/httpServers.ts
+++ b/src/httpServers.ts
@@ -43,6 +43,7 @@
         case "unknown-kind":
             return 400;
         case "in-progress":
+        case "key-conflict":
         case "already-run":
         case "key-expired":
             return 409;
--- a/src/logReader.ts
+++ b/src/logReader.ts
@@ -2,6 +2,7 @@
 import type { Map } from "immutable";
 import { replayRecord } from "./controlLog.ts";
 import type { EventOf, EventStamp } from "./events.ts";
+import { noteView } from "./handover.ts";
 import type { LogRecord } from "./logRecords.ts";
 import type { NodeState, Step } from "./state.ts";
 import { andThen, step } from "./state.ts";
@@ -37,7 +38,7 @@
     let result = step(state);
     for (const { offset, record } of event.records) {
         if (offset <= result.state.control.offset) continue;
-        result = andThen(result, next => applyRecord(next, offset, record));
+        result = andThen(result, next => applyRecord(next, offset, record, event.now));
     }
     const tailAskedAt = event.atTail ? event.askedAt : result.state.logReader.tailAskedAt;
     const read = { ...result.state, logReader: { ...result.state.logReader, reading: false, tailAskedAt } };
@@ -47,11 +48,11 @@
     return andThen({ state: proven, effects: result.effects }, next => readOn(next, event));
 }
 
-function applyRecord(state: NodeState, offset: number, record: LogRecord): Step {
+function applyRecord(state: NodeState, offset: number, record: LogRecord, now: number): Step {
     const { state: control, verdict } = replayRecord(state.control, offset, record);
     const pending = state.logReader.pending.delete(record.id);
     return step(
-        { ...state, control, logReader: { ...state.logReader, pending } },
+        noteView({ ...state, control, logReader: { ...state.logReader, pending } }, now),
         {
             type: "count",
             counter: record.type === "view" ? "view_changes" : "config_records",
--- /dev/null
+++ b/src/minting.ts
@@ -0,0 +1,88 @@
+/** Keys that nodes give to non-idempotent requests whose senders supplied none. */
+import type { Call } from "./calls.ts";
+import type { CallStarted, EventStamp } from "./events.ts";
+import { callerKey, formatMintedKey, idsOf, isMinted } from "./keys.ts";
+import { isRoutable } from "./membership.ts";
+import { withRecords } from "./records.ts";
+import { chooseMember } from "./routing.ts";
+import type { NodeState } from "./state.ts";
+import type { Kind } from "./types.ts";
+
+export interface ChosenKey {
+    readonly key?: string | undefined;
+    /** Under which the egress node keeps the key. */
+    readonly keptAs?: string | undefined;
+}
+
+/** The key of a new call; none for an idempotent kind. */
+export function chooseKey(
+    state: NodeState,
+    event: CallStarted & EventStamp,
+    kind: Kind,
+    level: number,
+): ChosenKey {
+    if (!kind.nonIdempotent) return {};
+    if (event.key !== undefined) return { key: callerKey(event.from, event.key) };
+    const keptAs = event.from === "egress" ? `${event.requestId}:${event.fingerprint}` : undefined;
+    const kept = keptAs === undefined ? undefined : state.records.egressKeys.get(keptAs)?.key;
+    const call = { id: event.call, service: event.service, level, tried: [], nextAttempt: 0 };
+    return { key: kept ?? mintKey(state, call, event), keptAs };
+}
+
+/** Keeps the key of a target's call, so that a blind resend of the target gets the same one. */
+export function keepKey(state: NodeState, call: Call, now: number): NodeState {
+    if (call.keptAs === undefined || call.key === undefined) return state;
+    const { egressKeys } = state.records;
+    const old = egressKeys.get(call.keptAs);
+    const kept = { key: call.key, at: old?.at ?? now, calls: (old?.calls ?? 0) + 1 };
+    return withRecords(state, { egressKeys: egressKeys.set(call.keptAs, kept) });
+}
+
+/**
+ * The call with a key for another target: nothing of a call whose attempts were all refused "not run" has been
+ * started, so that a new key cannot make it run twice. A kept key that a second call has joined stays.
+ */
+export function mintAgain(state: NodeState, call: Call, stamp: EventStamp): Call {
+    if (call.key === undefined || !isMinted(call.key)) return call;
+    if (call.nextAttempt === 0 || call.mayHaveRun !== undefined) return call;
+    const kept = call.keptAs === undefined ? undefined : state.records.egressKeys.get(call.keptAs);
+    if (call.keptAs !== undefined && kept?.calls !== 1) return call;
+    return { ...call, key: mintKey(state, call, stamp) };
+}
+
+/** Notes the new key of a call that `mintAgain` has changed. */
+export function keepNewKey(state: NodeState, call: Call): NodeState {
+    const { egressKeys } = state.records;
+    const kept = call.keptAs === undefined ? undefined : egressKeys.get(call.keptAs);
+    if (call.keptAs === undefined || kept === undefined || call.key === undefined) return state;
+    return withRecords(state, { egressKeys: egressKeys.set(call.keptAs, { ...kept, key: call.key }) });
+}
+
+function mintKey(
+    state: NodeState,
+    call: Pick<Call, "id" | "service" | "level" | "tried" | "nextAttempt">,
+    stamp: EventStamp,
+): string {
+    return formatMintedKey({
+        offset: state.control.offset,
+        ownerId: preferredOwner(state, call, stamp) ?? "",
+        serial: `${state.self.id}.${call.id}.${call.nextAttempt}`,
+    });
+}
+
+/** The member that routing prefers, as far as it is in the view. */
+function preferredOwner(
+    state: NodeState,
+    call: Pick<Call, "service" | "level" | "tried">,
+    stamp: EventStamp,
+): string | undefined {
+    const view = state.control.views.get(call.service);
+    if (view === undefined) return undefined;
+    const { service, level, tried } = call;
+    const choice = chooseMember(state, { service, level, tried, now: stamp.now, rand: stamp.rand });
+    if (choice.type === "member" && idsOf(view).includes(choice.member.id)) return choice.member.id;
+    const routable = view.members.filter(member => isRoutable(state, member));
+    const untried = routable.filter(member => !tried.includes(member.id));
+    const members = untried.length > 0 ? untried : routable;
+    return members[Math.floor(stamp.rand * members.length)]?.id;
+}
--- a/src/ownership.ts
+++ b/src/ownership.ts
@@ -1,129 +1,130 @@
-/** Who may run a key of a non-idempotent kind. */
-import { createHash } from "node:crypto";
-import { hasMajority } from "./controlLog.ts";
-import type { EventOf, EventStamp } from "./events.ts";
-import { append } from "./logReader.ts";
-import type { ViewRecord } from "./logRecords.ts";
-import type { NodeState, Step } from "./state.ts";
-import { step } from "./state.ts";
-import type { Member, View } from "./types.ts";
-
-/** A proof is good for this long after its question was sent. */
-export const PROOF_LIFETIME_MS = 6_000;
+/**
+ * Who may run a key of a non-idempotent kind: the state, and the decision at the moment of forwarding. Views
+ * change in `views.ts`, proofs are collected in `proofs.ts`, keys change owners in `handover.ts`.
+ */
+import type { List, Map } from "immutable";
+import { List as createList } from "immutable";
+import { blockedOrAlone } from "./crashes.ts";
+import type { EventStamp } from "./events.ts";
+import type { Gap, Sending } from "./handover.ts";
+import { claimOf } from "./handover.ts";
+import { ownerOf } from "./keys.ts";
+import { proofOf } from "./proofs.ts";
+import type { Ballot } from "./proofs.ts";
+import { beginKey, isFull } from "./records.ts";
+import type { Run } from "./runs.ts";
+import type { NodeState } from "./state.ts";
+import type { NotRun, RecordedAnswer, Unknown, View } from "./types.ts";
+import { notRun, unknown } from "./types.ts";
+import { emptyMap } from "./util.ts";
+import type { Proposal } from "./views.ts";
 
 export interface OwnershipState {
     /** When the question was sent whose answer last showed the view; undefined for never. */
     readonly provenAt?: number | undefined;
+    /** The promises and relayed reads that this node is collecting. */
+    readonly ballot?: Ballot | undefined;
     /** The view change that this node is collecting backers for. */
     readonly proposal?: Proposal | undefined;
-}
-
-export interface Proposal {
-    readonly record: ViewRecord;
-    readonly expiresAt: number;
-    readonly appended: boolean;
+    /** No new proposal is made before this time. */
+    readonly proposeAt: number;
+    /** Since when this node has been leaving. */
+    readonly leavingSince?: number | undefined;
+    /** The newest view version of each service from which this voter has backed a change. */
+    readonly backed: Map<string, number>;
+    /** The view of this node's service that `gaps` is up to date with. */
+    readonly view?: View | undefined;
+    /** Past changes that moved keys to this node without a handover so far. */
+    readonly gaps: List<Gap>;
+    /** Handovers that this node still has to send, by member. */
+    readonly sending: Map<string, Sending>;
+    /** Runs that wait for a key; the time is that of the next look, if any. */
+    readonly parked: Map<number, number>;
+    /** Calls that wait for this node's view to catch up, with the time of the next attempt. */
+    readonly waitingCalls: Map<number, number>;
 }
 
 export function createOwnershipState(): OwnershipState {
-    return {};
+    return {
+        proposeAt: 0,
+        backed: emptyMap(),
+        gaps: createList(),
+        sending: emptyMap(),
+        parked: emptyMap(),
+        waitingCalls: emptyMap(),
+    };
 }
 
-/** The member of a view that alone may run a key: rendezvous hashing. */
-export function ownerOf(view: View, key: string): Member | undefined {
-    let best: Member | undefined;
-    let bestScore = "";
-    for (const member of view.members) {
-        const score = createHash("sha256").update(member.id).update("\0").update(key).digest("hex");
-        if (best === undefined || score > bestScore) {
-            best = member;
-            bestScore = score;
-        }
-    }
-    return best;
+export function withOwnership(state: NodeState, changes: Partial<OwnershipState>): NodeState {
+    return { ...state, ownership: { ...state.ownership, ...changes } };
 }
 
-export type OwnerCheck =
-    | { readonly type: "owner"; readonly startBefore: number; }
-    | { readonly type: "refuse"; readonly reason: "not-owner" | "no-proof"; };
+/** What to do with a run that could be sent to the target now. */
+export type Entry =
+    | { readonly type: "start"; readonly state: NodeState; readonly startBefore?: number | undefined; }
+    /** Look again at `until`, or when what it waits for has happened. */
+    | { readonly type: "park"; readonly until: number; }
+    | { readonly type: "replay"; readonly answer: RecordedAnswer; }
+    | { readonly type: "end"; readonly outcome: NotRun | Unknown; };
 
-/** Whether this node may run a key now. */
-export function checkOwner(state: NodeState, key: string, now: number): OwnerCheck {
+/** Decides on a run in the step that would forward it. */
+export function enterRun(state: NodeState, run: Run, stamp: EventStamp): Entry {
+    const key = keyOf(run);
+    if (key === undefined) return blockedOrAlone(state, run, stamp) ?? { type: "start", state };
+    const known = fromRecord(state, run, stamp);
+    if (known !== undefined) return known;
     const view = state.control.views.get(state.self.service);
     if (view === undefined || ownerOf(view, key)?.id !== state.self.id) {
-        return { type: "refuse", reason: "not-owner" };
+        return { type: "end", outcome: notRun("not-owner") };
     }
-    const provenAt = state.ownership.provenAt;
-    if (provenAt === undefined || now >= provenAt + PROOF_LIFETIME_MS) {
-        return { type: "refuse", reason: "no-proof" };
-    }
-    return { type: "owner", startBefore: provenAt + PROOF_LIFETIME_MS };
+    const proof = proofOf(state, stamp.now);
+    if (proof === undefined) return { type: "end", outcome: notRun("no-proof", 1_000) };
+    const claim = claimOf(state, key, stamp.now);
+    if (claim.type === "inherited") return { type: "end", outcome: unknown("inherited-key") };
+    if (claim.type === "moving") return { type: "park", until: claim.until };
+    const suspect = blockedOrAlone(state, run, stamp);
+    if (suspect !== undefined) return suspect;
+    if (isFull(state, stamp.now)) return { type: "end", outcome: notRun("records-full", 1_000) };
+    return { type: "start", state: beginKey(state, key, run, stamp.now), startBefore: proof.startBefore };
 }
 
-const PROPOSAL_LIFETIME_MS = 1_000;
-const VOTER_LIMIT = 7;
-const BACK_TIMEOUT_MS = 500;
-
-/** Proposes this node's join once its target has announced itself and the log can be read. */
-export function proposeJoin(state: NodeState, stamp: EventStamp): Step {
-    const { self, target, control, ownership, draining } = state;
-    const view = control.views.get(self.service);
-    const isMember = view?.members.some(member => member.id === self.id) ?? false;
-    if (target === undefined || draining || isMember || ownership.provenAt === undefined) return step(state);
-    if (ownership.proposal !== undefined && ownership.proposal.expiresAt > stamp.now) return step(state);
-    const record: ViewRecord = {
-        type: "view",
-        id: `${self.id}:${Math.floor(stamp.now)}`,
-        service: self.service,
-        baseVersion: view?.version ?? 0,
-        change: "join",
-        members: [self],
-        voters: [self, ...view?.members ?? []].slice(0, VOTER_LIMIT),
-        backers: [],
-    };
-    const expiresAt = stamp.now + PROPOSAL_LIFETIME_MS;
-    const proposed = {
-        ...state,
-        ownership: { ...ownership, proposal: { record, expiresAt, appended: false } },
-    };
-    if (view === undefined || view.voters.length === 0) return appendProposal(proposed, record);
-    return step(
-        proposed,
-        { type: "wake_at", at: expiresAt },
-        ...view.voters.map(voter => ({
-            type: "send_rpc" as const,
-            token: `back:${record.id}`,
-            to: voter.address,
-            timeoutMs: BACK_TIMEOUT_MS,
-            request: {
-                type: "view.back" as const,
-                service: record.service,
-                baseVersion: record.baseVersion,
-                change: record.change,
-                members: record.members,
-            },
-        })),
-    );
+/** The key of a run that must not run twice. */
+export function keyOf(run: Pick<Run, "ctx" | "kind">): string | undefined {
+    return run.kind.nonIdempotent ? run.ctx.key : undefined;
 }
 
-function appendProposal(state: NodeState, record: ViewRecord): Step {
-    const proposal = state.ownership.proposal;
-    if (proposal === undefined) return step(state);
-    return append({
-        ...state,
-        ownership: { ...state.ownership, proposal: { ...proposal, record, appended: true } },
-    }, record);
+/**
+ * What this node's records say of a run's key; undefined when they say nothing. Asked before any refusal, since
+ * a key that has been started must never be told "not run" by the node that knows of it.
+ */
+export function fromRecord(
+    state: NodeState,
+    run: Pick<Run, "ctx" | "kind" | "fingerprint">,
+    stamp: EventStamp,
+): Entry | undefined {
+    const key = keyOf(run);
+    const record = key === undefined ? undefined : state.records.keys.get(key);
+    if (record === undefined) return undefined;
+    if (record.fingerprint !== run.fingerprint) return { type: "end", outcome: notRun("key-conflict") };
+    switch (record.state) {
+        case "begun":
+            return { type: "park", until: stamp.now + run.ctx.deadlineMs };
+        case "unknown":
+            return { type: "end", outcome: unknown("connection-lost") };
+        case "done":
+            return record.answer === undefined
+                ? { type: "end", outcome: unknown("already-run") }
+                : { type: "replay", answer: record.answer };
+    }
 }
 
-/** Counts a backer; appends the change when a majority of the voters backs it. */
-export function onBacked(state: NodeState, event: EventOf<"rpc_ended">): Step {
-    const proposal = state.ownership.proposal;
-    if (event.response?.type !== "view.back" || proposal === undefined || proposal.appended) {
-        return step(state);
+/** How to refuse a run whose key may have been started by an earlier send of it. */
+export function refusalOf(state: NodeState, run: Run, outcome: NotRun, now: number): NotRun | Unknown {
+    const key = keyOf(run);
+    if (key === undefined) return outcome;
+    const record = state.records.keys.get(key);
+    if (record !== undefined && record.fingerprint === run.fingerprint) {
+        return unknown(record.state === "begun" ? "in-progress" : "already-run");
     }
-    if (event.token !== `back:${proposal.record.id}`) return step(state);
-    const backers = [...new Set([...proposal.record.backers, ...event.response.backers])];
-    const record = { ...proposal.record, backers };
-    const view = state.control.views.get(record.service);
-    if (view !== undefined && hasMajority(view, backers)) return appendProposal(state, record);
-    return step({ ...state, ownership: { ...state.ownership, proposal: { ...proposal, record } } });
+    return claimOf(state, key, now).type === "free" ? outcome : unknown("inherited-key");
 }
--- a/src/peerMessages.ts
+++ b/src/peerMessages.ts
@@ -35,12 +35,24 @@
 /** One key as handed over to its new owner. */
 export interface HandedRecord {
     readonly key: string;
-    readonly state: "done" | "unknown";
+    /** `begun`: still in progress at the former owner, which tells the end later. */
+    readonly state: "begun" | "done" | "unknown";
+    readonly fingerprint: string;
     readonly answer?: RecordedAnswer | undefined;
     /** Age of the record when it was sent, ms. */
     readonly ageMs: number;
 }
 
+/** A view change whose former owners, as far as listed, handed nothing over to the sender. */
+export interface HandedGap {
+    readonly version: number;
+    readonly offset: number;
+    readonly ageMs: number;
+    /** Ids of the members before the change; undefined when the sender does not know them. */
+    readonly before?: readonly string[] | undefined;
+    readonly lost: readonly string[];
+}
+
 export type PeerRequest =
     | { readonly type: "swim.sync"; readonly sender: Member; readonly updates: readonly MemberUpdate[]; }
     | { readonly type: "control.state"; }
@@ -59,6 +71,7 @@
         readonly viewVersion: number;
         readonly sender: string;
         readonly records: readonly HandedRecord[];
+        readonly gaps: readonly HandedGap[];
         /** Whether this is the last part of this sender's handover for the view version. */
         readonly last: boolean;
     }
--- a/src/reducer.ts
+++ b/src/reducer.ts
@@ -1,15 +1,27 @@
 /** The behaviour of a node: one pure function from a state and an event to the next state and effects. */
 import { expireCalls, onAttemptAnswered, onAttemptClosed, onCallCancelled, onCallStarted } from "./calls.ts";
+import { noteCrash, onCrashReport } from "./crashes.ts";
 import type { EventOf, NodeEvent } from "./events.ts";
+import { onHandover, onHandoverAnswered } from "./handover.ts";
 import { onAppendEnded, onLogFailed, onLogGone, onLogRead, readOn } from "./logReader.ts";
-import { onBacked, proposeJoin } from "./ownership.ts";
+import { withOwnership } from "./ownership.ts";
 import type { PeerResponse } from "./peerMessages.ts";
+import { answerPromise, answerRelay, onProofAnswered } from "./proofs.ts";
 import { expireRuns, onRunAnswered, onRunCancelled, onRunEnded, onRunStarted } from "./runs.ts";
 import type { NodeState, Step } from "./state.ts";
 import { andThen, step } from "./state.ts";
 import { assertNever } from "./types.ts";
+import { back, onBacked } from "./views.ts";
+import { hasLeft, keepOwnership } from "./waits.ts";
 
 export function reduce(state: NodeState, event: NodeEvent): Step {
+    return andThen(
+        andThen(reduceEvent(state, event), next => keepOwnership(next, event)),
+        next => exitWhenDrained(next, event.now),
+    );
+}
+
+function reduceEvent(state: NodeState, event: NodeEvent): Step {
     switch (event.type) {
         case "call_started":
             return onCallStarted(state, event);
@@ -24,17 +36,19 @@
         case "run_answered":
             return onRunAnswered(state, event);
         case "run_ended":
-            return andThen(onRunEnded(state, event), exitWhenDrained);
+            return onRunEnded(state, event);
         case "run_cancelled":
             return onRunCancelled(state, event);
         case "target_announced":
             return onTargetAnnounced(state, event);
         case "target_lost":
-            return onTargetLost(state);
+            return onTargetLost(state, event);
         case "drain_requested":
-            return exitWhenDrained({ ...state, draining: true });
+            return step(withOwnership({ ...state, draining: true }, {
+                leavingSince: state.ownership.leavingSince ?? event.now,
+            }));
         case "log_read":
-            return andThen(onLogRead(state, event), next => proposeJoin(next, event));
+            return onLogRead(state, event);
         case "log_gone":
             return onLogGone(state, event);
         case "log_failed":
@@ -46,7 +60,7 @@
         case "rpc_received":
             return onRpcReceived(state, event);
         case "rpc_ended":
-            return onBacked(state, event);
+            return onRpcEnded(state, event);
         case "wake":
             return onWake(state, event);
         default:
@@ -56,52 +70,70 @@
 
 function onTargetAnnounced(state: NodeState, event: EventOf<"target_announced">): Step {
     const target = { address: event.address, announcedAt: event.now, lost: false };
-    return proposeJoin({ ...state, target }, event);
+    return step({ ...state, target });
 }
 
-function onTargetLost(state: NodeState): Step {
-    if (state.target === undefined) return step(state);
-    return step({ ...state, target: { ...state.target, lost: true } });
+function onTargetLost(state: NodeState, event: EventOf<"target_lost">): Step {
+    if (state.target === undefined || state.target.lost) return step(state);
+    return noteCrash({ ...state, target: { ...state.target, lost: true } }, event.now);
 }
 
 function onWake(state: NodeState, event: EventOf<"wake">): Step {
     let result = expireCalls(state, event);
     result = andThen(result, next => expireRuns(next, event));
-    result = andThen(result, next => proposeJoin(next, event));
     return andThen(result, next => readOn(next, event));
 }
 
-function exitWhenDrained(state: NodeState): Step {
-    const idle = state.runs.runs.isEmpty() && state.calls.calls.isEmpty();
-    return state.draining && idle ? step(state, { type: "exit" }) : step(state);
+function exitWhenDrained(state: NodeState, now: number): Step {
+    if (!state.draining || !state.runs.runs.isEmpty() || !state.calls.calls.isEmpty()) return step(state);
+    return hasLeft(state, now) ? step(state, { type: "exit" }) : step(state);
+}
+
+function onRpcEnded(state: NodeState, event: EventOf<"rpc_ended">): Step {
+    const backed = onBacked(state, event);
+    const proven = andThen(backed, next => onProofAnswered(next, event));
+    return andThen(proven, next => onHandoverAnswered(next, event));
 }
 
 function onRpcReceived(state: NodeState, event: EventOf<"rpc_received">): Step {
-    return step(state, { type: "answer_rpc", token: event.token, response: answerRpc(state, event) });
+    const { state: next, response } = answerRpc(state, event);
+    return step(next, { type: "answer_rpc", token: event.token, response });
+}
+
+interface Answered {
+    readonly state: NodeState;
+    readonly response: PeerResponse;
 }
 
-function answerRpc(state: NodeState, event: EventOf<"rpc_received">): PeerResponse {
-    const { request } = event;
+function answerRpc(state: NodeState, event: EventOf<"rpc_received">): Answered {
+    const { request, now } = event;
     switch (request.type) {
+        case "view.back": {
+            const backed = back(state, request);
+            return { state: backed.state, response: { type: "view.back", backers: backed.backers } };
+        }
+        case "records.handover": {
+            const { state: next, accepted } = onHandover(state, request, now);
+            return { state: next, response: { type: "records.handover", accepted } };
+        }
+        case "crashes.report":
+            return { state: onCrashReport(state, request, now), response: { type: "crashes.report" } };
+        case "view.promise":
+            return { state, response: answerPromise(state, request.service, request.version) };
+        case "view.relay":
+            return { state, response: answerRelay(state, now) };
         case "swim.sync":
-            return { type: "swim.sync", updates: [] };
+            return { state, response: { type: "swim.sync", updates: [] } };
         case "control.state":
             return {
-                type: "control.state",
-                offset: state.control.offset,
-                config: state.control.config,
-                views: state.control.views.toObject(),
+                state,
+                response: {
+                    type: "control.state",
+                    offset: state.control.offset,
+                    config: state.control.config,
+                    views: state.control.views.toObject(),
+                },
             };
-        case "view.back":
-            return { type: "view.back", backers: [state.self.id] };
-        case "view.promise":
-            return { type: "view.promise" };
-        case "view.relay":
-            return { type: "view.relay", offset: state.control.offset };
-        case "records.handover":
-            return { type: "records.handover", accepted: false };
-        case "crashes.report":
-            return { type: "crashes.report" };
         default:
             return assertNever(request);
     }
--- a/src/routing.ts
+++ b/src/routing.ts
@@ -1,7 +1,7 @@
 /** Choice of a target for an attempt, by what this node has seen of each member. */
 import type { Map } from "immutable";
+import { ownerOf } from "./keys.ts";
 import { isRoutable, membersOf } from "./membership.ts";
-import { ownerOf } from "./ownership.ts";
 import type { NodeState } from "./state.ts";
 import type { LoadReport, Member, NotRun, Outcome } from "./types.ts";
 import { notRun } from "./types.ts";
@@ -49,11 +49,15 @@
     return { type: "member", member: inFlightOf(state, a) <= inFlightOf(state, b) ? a : b };
 }
 
+/** A draining owner is still asked: no other member may run its keys until the leave is in the log. */
 function chooseOwner(state: NodeState, service: string, key: string): Choice {
     const view = state.control.views.get(service);
     const owner = view === undefined ? undefined : ownerOf(view, key);
     if (owner === undefined) return notRun("no-target");
-    return isRoutable(state, owner) ? { type: "member", member: owner } : notRun("owner-unreachable");
+    const status = state.members.entries.get(owner.id)?.status;
+    const isReachable = isRoutable(state, owner) || status === "draining"
+        || (owner.id === state.self.id && state.draining);
+    return isReachable ? { type: "member", member: owner } : notRun("owner-unreachable");
 }
 
 function inFlightOf(state: NodeState, member: Member): number {
--- a/src/runExchanges.ts
+++ b/src/runExchanges.ts
@@ -52,7 +52,8 @@
         const exchange = this.exchanges.get(effect.run);
         if (exchange === undefined) return;
         this.exchange(exchange, effect).catch((err: unknown) => {
-            const outcome = isConnectFailure(err) ? notRun("target-down") : unknown("target-crashed");
+            const failed = unknown(exchange.abort.signal.aborted ? "cancelled" : "target-crashed");
+            const outcome = isConnectFailure(err) ? notRun("target-down") : failed;
             if (isConnectFailure(err)) this.opts.dispatch({ type: "target_lost" });
             this.opts.dispatch({ type: "run_ended", run: effect.run, outcome });
             this.exchanges.delete(effect.run);
--- a/src/runs.ts
+++ b/src/runs.ts
@@ -5,16 +5,23 @@
 import type { List, Map } from "immutable";
 import { List as createList } from "immutable";
 import { hasCapacity, loadReport, onEnded, onForwarded } from "./admission.ts";
+import { noteRunEnd } from "./crashes.ts";
 import type { EventOf, EventStamp } from "./events.ts";
-import { checkOwner } from "./ownership.ts";
+import { tellNewOwner } from "./handover.ts";
+import type { Entry } from "./ownership.ts";
+import { enterRun, fromRecord, keyOf, refusalOf, withOwnership } from "./ownership.ts";
 import { levelOf } from "./priority.ts";
+import { finishKey } from "./records.ts";
 import type { NodeState, Step } from "./state.ts";
 import { andThen, findKind, step } from "./state.ts";
 import type { CallContext, Kind, NotRun, Unknown } from "./types.ts";
-import { notRun, unknown } from "./types.ts";
+import { notRun } from "./types.ts";
 import { emptyMap } from "./util.ts";
+import { mayStillTake } from "./waits.ts";
 
 const QUEUE_LIMIT = 64;
+/** Runs kept aside for a key; more are refused. */
+const PARKED_LIMIT = 256;
 
 export interface Run {
     readonly id: number;
@@ -61,7 +68,10 @@
 
 export function onRunStarted(state: NodeState, event: EventOf<"run_started">): Step {
     const kind = findKind(state, event.ctx.kind);
-    const refused = refuseAtArrival(state, event, kind);
+    const known = kind === undefined
+        ? undefined
+        : fromRecord(state, { ctx: event.ctx, kind, fingerprint: event.fingerprint }, event);
+    const refused = known !== undefined ? undefined : refuseAtArrival(state, event, kind);
     if (refused !== undefined || kind === undefined) {
         return refuseRun(state, event.run, refused ?? notRun("unknown-kind"), event.ctx.retries);
     }
@@ -76,12 +86,19 @@
         phase: "queued",
         retries: event.ctx.retries,
     };
+    if (known !== undefined) return enter(state, run, known, event);
     if (run.level > state.admission.level) {
-        return refuseRun(state, run.id, notRun("level", 1_000), run.retries);
+        return refuseRun(
+            state,
+            run.id,
+            refusalOf(state, run, notRun("level", 1_000), event.now),
+            run.retries,
+        );
     }
     if (hasCapacity(state.admission)) return forward(putRun(state, run), run, event);
     if (state.runs.queue.size >= QUEUE_LIMIT) {
-        return refuseRun(state, run.id, notRun("over-limit", 1_000), run.retries);
+        const outcome = refusalOf(state, run, notRun("over-limit", 1_000), event.now);
+        return refuseRun(state, run.id, outcome, run.retries);
     }
     const queued = putRun(state, run);
     return step(
@@ -97,40 +114,59 @@
 ): NotRun | undefined {
     if (state.control.config === undefined) return notRun("no-configuration", 1_000);
     if (kind === undefined) return notRun("unknown-kind");
-    if (state.draining) return notRun("draining");
+    if (state.draining && !mayStillTake(state, event.ctx.key, event.now)) return notRun("draining");
     if (state.target === undefined || state.target.lost) return notRun("target-down");
     if (event.ctx.deadlineMs <= 0) return notRun("deadline");
     return undefined;
 }
 
 function forward(state: NodeState, run: Run, stamp: EventStamp): Step {
-    const target = state.target;
-    if (target === undefined) return endUnrun(state, run, notRun("target-down"));
-    if (run.ctx.key === undefined || !run.kind.nonIdempotent) return forwardNow(state, run, stamp);
-    const owner = checkOwner(state, run.ctx.key, stamp.now);
-    if (owner.type === "refuse") return endUnrun(state, run, notRun(owner.reason));
-    const record = state.records.keys.get(run.ctx.key);
-    if (record === undefined) {
-        const keys = state.records.keys.set(run.ctx.key, { state: "begun", run: run.id, at: stamp.now });
-        return forwardNow({ ...state, records: { ...state.records, keys } }, run, stamp, owner.startBefore);
-    }
-    switch (record.state) {
-        case "begun":
-            return endUnrun(state, run, notRun("in-progress", 1_000));
-        case "unknown":
-            return endUnrun(state, run, unknown("connection-lost"));
-        case "done":
-            if (record.answer === undefined) return endUnrun(state, run, unknown("already-run"));
+    if (state.target === undefined) return endUnrun(state, run, notRun("target-down"));
+    return enter(state, run, enterRun(state, run, stamp), stamp);
+}
+
+function enter(state: NodeState, run: Run, entry: Entry, stamp: EventStamp): Step {
+    switch (entry.type) {
+        case "start":
+            return forwardNow(entry.state, run, stamp, entry.startBefore);
+        case "park":
+            return parkRun(state, run, entry.until, stamp.now);
+        case "end":
+            return endUnrun(state, run, entry.outcome);
+        case "replay":
             return step(removeRun(state, run), {
                 type: "replay_run",
                 run: run.id,
-                answer: record.answer,
+                answer: entry.answer,
                 retriesLeft: run.retries,
                 load: loadReport(state.admission),
             });
     }
 }
 
+/** Keeps a run aside until its key can be run or answered, or its deadline passes. */
+function parkRun(state: NodeState, run: Run, until: number, now: number): Step {
+    const { parked } = state.ownership;
+    if (parked.size >= PARKED_LIMIT && !parked.has(run.id)) {
+        return endUnrun(state, run, refusalOf(state, run, notRun("over-limit", 1_000), now));
+    }
+    return step(withOwnership(putRun(state, run), { parked: parked.set(run.id, until) }), {
+        type: "wake_at",
+        at: Math.min(until, run.deadlineAt),
+    });
+}
+
+/** Looks again at a run that was kept aside. */
+export function enterAgain(state: NodeState, id: number, stamp: EventStamp): Step {
+    const run = state.runs.runs.get(id);
+    const parked = withOwnership(state, { parked: state.ownership.parked.delete(id) });
+    if (run?.phase !== "queued") return step(parked);
+    const known = fromRecord(state, run, stamp);
+    if (known !== undefined) return enter(parked, run, known, stamp);
+    if (hasCapacity(state.admission)) return forward(parked, run, stamp);
+    return step({ ...parked, runs: { ...parked.runs, queue: parked.runs.queue.push(id) } });
+}
+
 function forwardNow(state: NodeState, run: Run, stamp: EventStamp, startBefore?: number): Step {
     const forwarded: Run = { ...run, phase: "forwarded", forwardedAt: stamp.now };
     const next = putRun(state, forwarded);
@@ -172,24 +208,19 @@
         ok: event.outcome.type === "ran" && event.outcome.status < 500,
     });
     const ended = noteRecord({ ...removeRun(state, run), admission }, run, event);
-    const refused = event.outcome.type === "ran" || run.phase === "answered"
-        ? step(ended)
-        : refuseRun(ended, run.id, event.outcome, run.retries);
+    const { outcome } = event;
+    const refused = outcome.type === "ran" || run.phase === "answered"
+        ? ended
+        : andThen(ended, next => refuseRun(next, run.id, outcome, run.retries));
     return andThen(refused, next => startQueued(next, event));
 }
 
-function noteRecord(state: NodeState, run: Run, event: EventOf<"run_ended">): NodeState {
-    const key = run.ctx.key;
-    if (key === undefined || !run.kind.nonIdempotent) return state;
-    const keys = event.outcome.type === "not-run"
-        ? state.records.keys.delete(key)
-        : state.records.keys.set(
-            key,
-            event.outcome.type === "ran"
-                ? { state: "done", answer: event.answer, at: event.now }
-                : { state: "unknown", at: event.now },
-        );
-    return { ...state, records: { ...state.records, keys } };
+function noteRecord(state: NodeState, run: Run, event: EventOf<"run_ended">): Step {
+    const ended = noteRunEnd(state, run, event);
+    const key = keyOf(run);
+    if (key === undefined) return ended;
+    const noted = finishKey(ended.state, key, run, event);
+    return step(noted, ...ended.effects, ...tellNewOwner(noted, key, event.now));
 }
 
 function startQueued(state: NodeState, stamp: EventStamp): Step {
@@ -200,7 +231,9 @@
             const popped = { ...next, runs: { ...next.runs, queue: next.runs.queue.shift() } };
             const run = popped.runs.runs.get(id);
             if (run === undefined) return step(popped);
-            if (run.deadlineAt <= stamp.now) return endUnrun(popped, run, notRun("queue-timeout"));
+            if (run.deadlineAt <= stamp.now) {
+                return endUnrun(popped, run, refusalOf(popped, run, notRun("queue-timeout"), stamp.now));
+            }
             return forward(popped, run, stamp);
         });
     }
@@ -219,7 +252,10 @@
     let result = step(state);
     for (const run of state.runs.runs.values()) {
         if (run.deadlineAt > stamp.now || run.phase !== "queued") continue;
-        result = andThen(result, next => endUnrun(next, run, notRun("queue-timeout")));
+        result = andThen(
+            result,
+            next => endUnrun(next, run, refusalOf(next, run, notRun("queue-timeout"), stamp.now)),
+        );
     }
     return result;
 }
--- a/src/runtime.ts
+++ b/src/runtime.ts
@@ -5,12 +5,13 @@
 import { CallExchanges } from "./callExchanges.ts";
 import type { Effect } from "./effects.ts";
 import { messageOf } from "./errors.ts";
-import type { EventBody } from "./events.ts";
+import type { CallStarted, EventBody } from "./events.ts";
 import { fingerprintOf } from "./exchanges.ts";
 import { baggageMember, callContextOf } from "./headers.ts";
 import { HttpClients } from "./httpClients.ts";
 import { createCallReply, createRunReply, createServer, requestIdOf, toHttpRequest } from "./httpServers.ts";
 import { createNodeState } from "./initialState.ts";
+import { uuidAgeMs } from "./keys.ts";
 import { logEvent } from "./log.ts";
 import { LogClient } from "./logClient.ts";
 import { Metrics } from "./metrics.ts";
@@ -332,13 +333,13 @@
     /** What a caller claims of its request; the reducer checks it against the configuration. */
     private claimsOf(
         req: FastifyRequest,
-    ): { readonly kind?: string; readonly key?: string; readonly deadlineMs?: number; } {
+    ): Pick<CallStarted, "kind" | "key" | "keyAgeMs" | "deadlineMs"> {
         const kind = baggageMember(req.headers, "fp.kind");
         const key = req.headers["idempotency-key"];
         const deadlineMs = Number(req.headers["x-request-deadline-ms"]);
         return {
             ...(kind === undefined ? {} : { kind }),
-            ...(typeof key === "string" ? { key } : {}),
+            ...(typeof key === "string" ? { key, keyAgeMs: uuidAgeMs(key, Date.now()) } : {}),
             ...(deadlineMs > 0 ? { deadlineMs } : {}),
         };
     }
--- a/src/schemas.ts
+++ b/src/schemas.ts
@@ -150,10 +150,18 @@
         sender: text,
         records: v.array(v.strictObject({
             key: text,
-            state: v.picklist(["done", "unknown"]),
+            state: v.picklist(["begun", "done", "unknown"]),
+            fingerprint: text,
             answer: v.optional(recordedAnswerSchema),
             ageMs: ms,
         })),
+        gaps: v.array(v.strictObject({
+            version: count,
+            offset: v.pipe(v.number(), v.integer()),
+            ageMs: ms,
+            before: v.optional(v.array(text)),
+            lost: v.array(text),
+        })),
         last: v.boolean(),
     }),
     v.strictObject({
--- a/src/types.ts
+++ b/src/types.ts
@@ -122,7 +122,7 @@
     "crashes-targets",
     "cancelled",
     "connect-failed",
-    "in-progress",
+    "key-conflict",
 ] as const;
 export type RefusalReason = typeof refusalReasons[number];
 
@@ -136,6 +136,7 @@
     "inherited-key",
     "key-expired",
     "already-run",
+    "in-progress",
 ] as const;
 export type UnknownReason = typeof unknownReasons[number];
 
--- /dev/null
+++ b/src/views.ts
@@ -0,0 +1,194 @@
+/** Changes to service views: which change this node proposes, who backs it, and who votes on the next one. */
+import { hasMajority } from "./controlLog.ts";
+import type { EventOf, EventStamp } from "./events.ts";
+import { append } from "./logReader.ts";
+import type { ViewRecord } from "./logRecords.ts";
+import { withOwnership } from "./ownership.ts";
+import type { PeerRequest } from "./peerMessages.ts";
+import { isLogReadable } from "./proofs.ts";
+import type { NodeState, Step } from "./state.ts";
+import { step } from "./state.ts";
+import type { Member, View } from "./types.ts";
+import { formatAddress } from "./types.ts";
+import { pickVoters } from "./voters.ts";
+
+/** How long backers are collected before the proposal is given up. */
+const BACKING_LIFETIME_MS = 1_000;
+/** How long to wait for an appended proposal to be seen in the log. */
+const APPEND_LIFETIME_MS = 5_000;
+const BACK_TIMEOUT_MS = 500;
+/** Proposers that raced wait up to this long, so that one of them comes first next time. */
+const RETRY_SPREAD_MS = 400;
+
+export interface Proposal {
+    readonly record: ViewRecord;
+    readonly expiresAt: number;
+    readonly appended: boolean;
+}
+
+type BackRequest = Extract<PeerRequest, { readonly type: "view.back"; }>;
+
+/** Proposes the change that this node wants, if any, and gives up proposals that were overtaken. */
+export function proposeChange(state: NodeState, stamp: EventStamp): Step {
+    const current = dropProposal(state, stamp);
+    const { proposal, proposeAt } = current.ownership;
+    if (proposal !== undefined || stamp.now < proposeAt || !isLogReadable(current, stamp.now)) {
+        return step(current);
+    }
+    if (current.draining) return proposeLeave(current, stamp);
+    if (!isMember(current)) return proposeJoin(current, stamp);
+    return proposeExclude(current, stamp);
+}
+
+function dropProposal(state: NodeState, stamp: EventStamp): NodeState {
+    const { proposal } = state.ownership;
+    if (proposal === undefined) return state;
+    const version = viewOf(state, proposal.record.service)?.version ?? 0;
+    if (version <= proposal.record.baseVersion && stamp.now < proposal.expiresAt) return state;
+    const proposeAt = stamp.now + stamp.rand * RETRY_SPREAD_MS;
+    return withOwnership(state, { proposal: undefined, proposeAt });
+}
+
+/** Proposes this node's join once its target has announced itself. */
+export function proposeJoin(state: NodeState, stamp: EventStamp): Step {
+    if (state.target === undefined || state.target.lost || state.draining || isMember(state)) {
+        return step(state);
+    }
+    return propose(state, "join", [state.self], stamp);
+}
+
+/** Proposes this node's leave. */
+export function proposeLeave(state: NodeState, stamp: EventStamp): Step {
+    if (!isMember(state) || state.ownership.proposal !== undefined) return step(state);
+    if (!isLogReadable(state, stamp.now)) return step(state);
+    return propose(state, "leave", [state.self], stamp);
+}
+
+/** Proposes to exclude all dead members at once, or to replace dead voters. */
+function proposeExclude(state: NodeState, stamp: EventStamp): Step {
+    const view = viewOf(state, state.self.service)!;
+    const dead = view.members.filter(member => isDead(state, member));
+    if (dead.length === 0 && !view.voters.some(voter => isDead(state, voter))) return step(state);
+    return propose(state, "exclude", dead, stamp);
+}
+
+function propose(
+    state: NodeState,
+    change: ViewRecord["change"],
+    members: readonly Member[],
+    stamp: EventStamp,
+): Step {
+    const { service } = state.self;
+    const view = viewOf(state, service);
+    const record: ViewRecord = {
+        type: "view",
+        id: `${state.self.id}:${view?.version ?? 0}:${Math.floor(stamp.now)}`,
+        service,
+        baseVersion: view?.version ?? 0,
+        change,
+        members,
+        voters: pickVoters(state, membersAfter(view, change, members)),
+        backers: [],
+    };
+    const expiresAt = stamp.now + BACKING_LIFETIME_MS;
+    const proposal: Proposal = { record, expiresAt, appended: false };
+    const proposed = withOwnership(state, { proposal });
+    if (view === undefined || view.voters.length === 0) return appendProposal(proposed, record, stamp.now);
+    const { baseVersion } = record;
+    const request: BackRequest = { type: "view.back", service, baseVersion, change, members };
+    const own = back(proposed, request);
+    const asked = new Set(view.voters.map(voter => formatAddress(voter.address)));
+    asked.delete(formatAddress(state.self.address));
+    const counted = countBackers(own.state, own.backers, stamp.now);
+    if (counted.state.ownership.proposal?.appended === true) return counted;
+    const voters = view.voters.filter(voter => asked.delete(formatAddress(voter.address)));
+    return step(
+        counted.state,
+        { type: "wake_at", at: expiresAt },
+        ...voters.map(voter => ({
+            type: "send_rpc" as const,
+            token: `back:${record.id}`,
+            to: voter.address,
+            timeoutMs: BACK_TIMEOUT_MS,
+            request,
+        })),
+    );
+}
+
+function membersAfter(
+    view: View | undefined,
+    change: ViewRecord["change"],
+    members: readonly Member[],
+): readonly Member[] {
+    const changed = new Set(members.map(member => member.id));
+    const kept = (view?.members ?? []).filter(member => !changed.has(member.id));
+    return change === "join" ? [...kept, ...members] : kept;
+}
+
+function appendProposal(state: NodeState, record: ViewRecord, now: number): Step {
+    const proposal: Proposal = { record, appended: true, expiresAt: now + APPEND_LIFETIME_MS };
+    return append(withOwnership(state, { proposal }), record);
+}
+
+/** Takes a voter's answer. */
+export function onBacked(state: NodeState, event: EventOf<"rpc_ended">): Step {
+    const { proposal } = state.ownership;
+    if (event.response?.type !== "view.back" || event.token !== `back:${proposal?.record.id}`) {
+        return step(state);
+    }
+    return countBackers(state, event.response.backers, event.now);
+}
+
+/** Appends the change when a majority of the voters backs it. */
+function countBackers(state: NodeState, backers: readonly string[], now: number): Step {
+    const { proposal } = state.ownership;
+    if (proposal === undefined || proposal.appended) return step(state);
+    const record = { ...proposal.record, backers: [...new Set([...proposal.record.backers, ...backers])] };
+    const view = viewOf(state, record.service);
+    if (view?.version === record.baseVersion && hasMajority(view, record.backers)) {
+        return appendProposal(state, record, now);
+    }
+    return step(withOwnership(state, { proposal: { ...proposal, record } }));
+}
+
+export interface Backed {
+    readonly state: NodeState;
+    readonly backers: readonly string[];
+}
+
+/**
+ * Backs a change in this voter's name and in the names of voters that ran at its address before it, and gives up
+ * promising for the base version.
+ */
+export function back(state: NodeState, request: BackRequest): Backed {
+    const { service, baseVersion, change, members } = request;
+    const view = viewOf(state, service);
+    if ((view?.version ?? 0) > baseVersion) return { state, backers: [] };
+    if (change === "exclude" && !members.every(member => isDead(state, member))) {
+        return { state, backers: [] };
+    }
+    const address = formatAddress(state.self.address);
+    const former = (view?.voters ?? []).filter(voter =>
+        voter.id !== state.self.id && formatAddress(voter.address) === address
+    );
+    const newest = Math.max(baseVersion, state.ownership.backed.get(service) ?? -1);
+    return {
+        state: withOwnership(state, { backed: state.ownership.backed.set(service, newest) }),
+        backers: [state.self.id, ...former.map(voter => voter.id)],
+    };
+}
+
+/** Dead by this node's own failure detector, or a former process at this node's address. */
+function isDead(state: NodeState, member: Member): boolean {
+    if (member.id === state.self.id) return false;
+    if (formatAddress(member.address) === formatAddress(state.self.address)) return true;
+    return state.members.entries.get(member.id)?.status === "dead";
+}
+
+function viewOf(state: NodeState, service: string): View | undefined {
+    return state.control.views.get(service);
+}
+
+export function isMember(state: NodeState): boolean {
+    return viewOf(state, state.self.service)?.members.some(member => member.id === state.self.id) ?? false;
+}
--- /dev/null
+++ b/src/waits.ts
@@ -0,0 +1,108 @@
+/** Runs that wait for a key, calls that wait for their node's view, and the ownership work of every step. */
+import { sendAttempt } from "./calls.ts";
+import type { Call } from "./calls.ts";
+import type { EventStamp, NodeEvent } from "./events.ts";
+import { noteView, pumpHandovers } from "./handover.ts";
+import { ownerOf } from "./keys.ts";
+import { withOwnership } from "./ownership.ts";
+import { askForProof } from "./proofs.ts";
+import { expireKeys } from "./records.ts";
+import { enterAgain } from "./runs.ts";
+import type { NodeState, Step } from "./state.ts";
+import { andThen, step } from "./state.ts";
+import type { NotRun } from "./types.ts";
+import { isMember, proposeChange } from "./views.ts";
+
+/** Period of the ownership's own work; proofs, proposals and handovers need no finer one. */
+const TICK_MS = 250;
+/** A view change reaches all readers of the log within a few milliseconds of each other. */
+const VIEW_WAIT_MS = 25;
+/** A leaving node takes requests for its keys, which no other node may run, until the leave is in the log. */
+const LEAVE_GRACE_MS = 1_500;
+/** A leave that finds no majority holds the process up for no longer than this. */
+const LEAVE_LIMIT_MS = 5_000;
+
+/** Follows up on an event: changed views, handovers, proposals, and what waits for them. */
+export function keepOwnership(state: NodeState, event: NodeEvent): Step {
+    let result = step(noteView(state, event.now));
+    const { type } = event;
+    const isTick = type === "wake" || type === "log_read" || type === "target_announced"
+        || type === "drain_requested";
+    if (isTick) {
+        result = andThen(result, next => proposeChange(next, event));
+        result = andThen(result, next => askForProof(next, event));
+    }
+    result = andThen(result, next => pumpHandovers(next, event));
+    if (isTick || type === "rpc_received" || type === "run_ended") {
+        result = andThen(result, next => resumeRuns(next, event, type === "wake"));
+    }
+    if (isTick) result = andThen(result, next => resumeCalls(next, event));
+    if (type !== "wake") return result;
+    const next = expireKeys(result.state, event.now);
+    return step(next, ...result.effects, { type: "wake_at", at: nextWake(next, event.now) });
+}
+
+function nextWake(state: NodeState, now: number): number {
+    const times = [
+        ...state.ownership.waitingCalls.values(),
+        ...state.ownership.sending.valueSeq().map(sending => sending.nextAt),
+    ].filter(at => at > now);
+    return Math.min(now + TICK_MS, ...times);
+}
+
+/** Looks again at the runs that wait for a key. */
+function resumeRuns(state: NodeState, stamp: EventStamp, onlyDue: boolean): Step {
+    let result = step(state);
+    for (const [id, until] of state.ownership.parked) {
+        if (onlyDue && until > stamp.now) continue;
+        result = andThen(result, next => enterAgain(next, id, stamp));
+    }
+    return result;
+}
+
+/** Whether a refusal means that this node and the owner of a key have read different views. */
+export function awaitsView(state: NodeState, call: Call, outcome: NotRun): boolean {
+    if (outcome.reason !== "not-owner" && outcome.reason !== "draining") return false;
+    const view = state.control.views.get(call.service);
+    if (call.key === undefined || view === undefined) return false;
+    return call.tried.at(-1) === ownerOf(view, call.key)?.id;
+}
+
+/** Sends the next attempt of a call once this node may have read the change that the refusal is about. */
+export function waitForView(state: NodeState, call: Call, stamp: EventStamp): Step {
+    const at = stamp.now + VIEW_WAIT_MS;
+    const waitingCalls = state.ownership.waitingCalls.set(call.id, at);
+    return step(withOwnership(state, { waitingCalls }), { type: "wake_at", at });
+}
+
+function resumeCalls(state: NodeState, stamp: EventStamp): Step {
+    let result = step(state);
+    for (const [id, at] of state.ownership.waitingCalls) {
+        if (at > stamp.now) continue;
+        result = andThen(result, next => {
+            const waitingCalls = next.ownership.waitingCalls.delete(id);
+            const call = next.calls.calls.get(id);
+            const cleared = withOwnership(next, { waitingCalls });
+            if (call === undefined || call.attempt !== undefined) return step(cleared);
+            return sendAttempt(cleared, call, stamp);
+        });
+    }
+    return result;
+}
+
+/** Whether a leaving node still takes a request because only it may run its key. */
+export function mayStillTake(state: NodeState, key: string | undefined, now: number): boolean {
+    const since = state.ownership.leavingSince;
+    const view = state.control.views.get(state.self.service);
+    if (key === undefined || since === undefined || view === undefined || now > since + LEAVE_GRACE_MS) {
+        return false;
+    }
+    return ownerOf(view, key)?.id === state.self.id;
+}
+
+/** Whether a leaving node has nothing left to hand over. */
+export function hasLeft(state: NodeState, now: number): boolean {
+    const { leavingSince, sending } = state.ownership;
+    if (leavingSince === undefined || now > leavingSince + LEAVE_LIMIT_MS) return true;
+    return !isMember(state) && sending.isEmpty();
+}
--- /dev/null
+++ b/test/fakes/bookings.ts
@@ -0,0 +1,115 @@
+/** A world with one service whose requests must not run twice, and a failure detector that is always right. */
+import { ownerOf } from "../../src/keys.ts";
+import type { FakeNode } from "./fakeNode.ts";
+import type { NodeSpec, Told } from "./world.ts";
+import { createConfiguration, createKind, World } from "./world.ts";
+
+const DETECT_PERIOD_MS = 250;
+const DEAD_AFTER_MS = 4_000;
+const DATA_CENTRES = ["a", "b", "c"] as const;
+const HORIZON_MS = 600_000;
+
+export interface BookingsOptions {
+    readonly seed?: number;
+    readonly nodes?: number;
+    /** Nodes of another service, which may become voters. */
+    readonly others?: number;
+    readonly deadlineMs?: number;
+    readonly horizonMs?: number;
+    readonly target?: Partial<NodeSpec["target"]>;
+}
+
+export class Bookings {
+    readonly world: World;
+    private readonly opts: BookingsOptions;
+    private readonly lastSeen = new Map<string, number>();
+
+    constructor(opts: BookingsOptions = {}) {
+        this.opts = opts;
+        this.world = new World({ seed: opts.seed ?? 1 });
+        const { nodes = 5, others = 0, deadlineMs = 1_000, horizonMs = HORIZON_MS } = opts;
+        for (let i = 0; i < nodes; i++) this.add("booking", i);
+        for (let i = 0; i < others; i++) this.add("gallery", i);
+        const kinds = [
+            createKind("book", { nonIdempotent: true, deadlineMs }),
+            createKind("browse", { deadlineMs }),
+        ];
+        const services = ["booking", "gallery"]
+            .map(name => ({ name, defaultKind: "book", calls: [], connections: 10 }));
+        const configuration = createConfiguration({ kinds, services, resendHorizonMs: horizonMs });
+        this.world.appendToLog({ type: "config", id: "v1", base: "none", author: "test", configuration });
+        this.detect();
+    }
+
+    add(service: string, index: number, address?: NodeSpec["address"]): FakeNode {
+        const target = { slots: 10, serviceMs: 5, ...this.opts.target };
+        return this.world.addNode({ service, dataCentre: DATA_CENTRES[index % 3]!, target, address });
+    }
+
+    /** Runs until all nodes are in the view and trust it. */
+    settle(): this {
+        this.world.run(15_000);
+        return this;
+    }
+
+    get nodes(): readonly FakeNode[] {
+        return this.world.nodes.filter(node => node.member.service === "booking");
+    }
+
+    viewAt(node: FakeNode) {
+        return node.state.control.views.get("booking")!;
+    }
+
+    memberIds(node: FakeNode): readonly string[] {
+        return this.viewAt(node).members.map(member => member.id);
+    }
+
+    /** The node that owns a caller's key in the view of a node. */
+    ownerOf(node: FakeNode, key: string): FakeNode {
+        const owner = ownerOf(this.viewAt(node), `entry:${key}`);
+        return this.world.nodes.find(found => found.member.id === owner?.id)!;
+    }
+
+    /** A key whose owner satisfies a condition. */
+    keyOwnedBy(node: FakeNode, accepts: (owner: FakeNode) => boolean, prefix = "key"): string {
+        for (let i = 0;; i++) {
+            if (accepts(this.ownerOf(node, `${prefix}-${i}`))) return `${prefix}-${i}`;
+        }
+    }
+
+    /** Sends a booking and runs until its answer or for a time. */
+    book(node: FakeNode, key?: string, runMs = 2_000): Told | undefined {
+        let told: Told | undefined;
+        this.world.request(node, "book", answer => told = answer, key === undefined ? {} : { key });
+        this.world.run(runMs);
+        return told;
+    }
+
+    /** How often a key from a caller was started. */
+    starts(key: string): number {
+        return this.started().filter(task => task.key === `entry:${key}`).length;
+    }
+
+    started() {
+        return this.nodes.flatMap(node => node.target.started);
+    }
+
+    private detect(): void {
+        const { now, nodes, scheduler } = this.world;
+        for (const observer of nodes) {
+            for (const other of nodes) {
+                const name = `${observer.member.id} ${other.member.id}`;
+                const isSeen = observer.paused || (other.alive && !other.paused
+                    && !this.world.isCut(observer, other));
+                if (isSeen || !this.lastSeen.has(name)) this.lastSeen.set(name, now);
+                const status = now - this.lastSeen.get(name)! >= DEAD_AFTER_MS ? "dead" : "alive";
+                const { members } = observer.state;
+                if ((members.entries.get(other.member.id)?.status ?? "alive") === status) continue;
+                const entry = { member: other.member, status, refutation: 0 } as const;
+                const entries = members.entries.set(other.member.id, entry);
+                observer.state = { ...observer.state, members: { ...members, entries } };
+            }
+        }
+        scheduler.after(DETECT_PERIOD_MS, () => this.detect());
+    }
+}
--- a/test/fakes/fakeNode.ts
+++ b/test/fakes/fakeNode.ts
@@ -124,7 +124,7 @@
             type: "call_started",
             call,
             replayable: true,
-            fingerprint: `${req.service} ${req.requestId}`,
+            fingerprint: `${req.service} ${req.key ?? req.requestId}`,
             tracked: true,
         });
         return call;
@@ -246,12 +246,14 @@
     startRun(effect: EffectOf<"send_attempt">, answer: Answer): number {
         const run = this.nextId++;
         const { requestId, kind, key } = effect.ctx;
+        // A resend with a caller's key has the same content; a minted key says nothing of it.
+        const content = key?.startsWith("entry:") ? key : requestId;
         this.runs.set(run, { requestId, kind, key, answer });
         this.dispatch({
             type: "run_started",
             run,
             ctx: effect.ctx,
-            fingerprint: `${this.member.service} ${requestId}`,
+            fingerprint: `${this.member.service} ${content}`,
         });
         return run;
     }
@@ -281,6 +283,7 @@
         }
         pending.cancel = this.target.submit({
             ...pending,
+            startBefore: effect.startBefore,
             done: outcome =>
                 this.whenRunning(() =>
                     this.endRun(effect.run, outcome.type === "answered" ? outcome.status : undefined)
--- a/test/fakes/fakeTarget.ts
+++ b/test/fakes/fakeTarget.ts
@@ -9,6 +9,8 @@
     readonly requestId: string;
     readonly kind: string;
     readonly key?: string | undefined;
+    /** The target refuses to start the request later than this. */
+    readonly startBefore?: number | undefined;
     readonly done: (outcome: TargetOutcome) => void;
 }
 
@@ -88,6 +90,9 @@
 
     private start(entry: ActiveTask): void {
         this.active.add(entry);
+        if (this.scheduler.now >= (entry.task.startBefore ?? Infinity)) {
+            return this.scheduler.after(0, () => this.finish(entry, 503));
+        }
         this.started.push(entry.task);
         if (this.crashesOn(entry.task)) return this.crash();
         const serviceMs = this.scheduler.exponential(this.opts.serviceMs) * this.slowdown;
