Test ownership under pauses, partitions, log outages and planned stops

Cause: the mechanisms of proofs and handover had no test that fails without them.

Change: scenarios over the fakes with a failure detector that is always right. A node that has left answers for another 500 ms, since other nodes may read of the leave later and would find nobody at its address.

--- a/src/handover.ts
+++ b/src/handover.ts
@@ -84,7 +84,7 @@
     const view = state.control.views.get(state.self.service);
     const old = state.ownership.view;
     if (view === undefined || view.version === old?.version) return state;
-    const noted = withOwnership(state, { view, gaps: nextGaps(state, view, now) });
+    const noted = withOwnership(state, { view, notedAt: now, gaps: nextGaps(state, view, now) });
     return old === undefined || view.version !== old.version + 1
         ? noted
         : planHandovers(noted, old, view, now);
--- a/src/waits.ts
+++ b/src/waits.ts
@@ -19,6 +19,8 @@
 const VIEW_WAIT_MS = 25;
 /** A leaving node takes requests for its keys, which no other node may run, until the leave is in the log. */
 const LEAVE_GRACE_MS = 1_500;
+/** A node that has left answers for this long, since other nodes may read of the leave a little later. */
+const LINGER_MS = 500;
 /** A leave that finds no majority holds the process up for no longer than this. */
 const LEAVE_LIMIT_MS = 5_000;
 
@@ -100,9 +102,10 @@
     return ownerOf(view, key)?.id === state.self.id;
 }
 
-/** Whether a leaving node has nothing left to hand over. */
+/** Whether a leaving node has nothing left to do for its keys. */
 export function hasLeft(state: NodeState, now: number): boolean {
-    const { leavingSince, sending } = state.ownership;
+    const { leavingSince, sending, notedAt } = state.ownership;
     if (leavingSince === undefined || now > leavingSince + LEAVE_LIMIT_MS) return true;
-    return !isMember(state) && sending.isEmpty();
+    if (isMember(state) || !sending.isEmpty()) return false;
+    return notedAt === undefined || now > notedAt + LINGER_MS;
 }
--- /dev/null
+++ b/test/ownershipFaults.test.ts
@@ -0,0 +1,267 @@
+/** Proofs under faults: a key must not be started by a former owner and by a new one. */
+import { expect } from "chai";
+import { Bookings } from "./fakes/bookings.ts";
+import type { FakeNode } from "./fakes/fakeNode.ts";
+import type { Told } from "./fakes/world.ts";
+
+/** Sends a key through several nodes, one after the other. */
+function resend(bookings: Bookings, nodes: readonly FakeNode[], key: string): readonly (Told | undefined)[] {
+    return nodes.map(node => bookings.book(node, key));
+}
+
+function reasonOf(told: Told | undefined): string {
+    return told === undefined ? "none" : told.type === "answered" ? "answered" : told.reason;
+}
+
+describe("ownership under faults", () => {
+    it("keeps a holder that was paused over its exclusion from running a request that it holds", () => {
+        const bookings = new Bookings().settle();
+        const [caller, holder] = bookings.nodes;
+        const key = bookings.keyOwnedBy(caller!, owner => owner === holder);
+        holder!.pause();
+        bookings.book(caller!, key, 30_000);
+        expect(bookings.memberIds(caller!)).not.to.include(holder!.member.id);
+        bookings.book(caller!, key);
+        holder!.resume();
+        bookings.world.run(5_000);
+        expect(bookings.starts(key)).to.be.at.most(1);
+    });
+
+    it("keeps a paused holder with a long deadline from running after its proof has lapsed", () => {
+        const bookings = new Bookings({ deadlineMs: 60_000 }).settle();
+        const [caller, holder, third] = bookings.nodes;
+        const key = bookings.keyOwnedBy(caller!, owner => owner === holder);
+        holder!.pause();
+        bookings.book(caller!, key, 30_000);
+        holder!.resume();
+        bookings.world.run(1);
+        expect(bookings.starts(key)).to.equal(0);
+        bookings.book(third!, key, 5_000);
+        expect(bookings.starts(key)).to.be.at.most(1);
+    });
+
+    it("passes the end of the proof on to the target", () => {
+        const bookings = new Bookings().settle();
+        const [caller, holder] = bookings.nodes;
+        const limits: (number | undefined)[] = [];
+        holder!.onEffect = effect => {
+            if (effect.type === "forward_run") limits.push(effect.startBefore);
+        };
+        bookings.book(caller!, bookings.keyOwnedBy(caller!, owner => owner === holder), 10);
+        expect(limits).to.have.length(1);
+        expect(limits[0]).to.be.within(bookings.world.now, bookings.world.now + 6_000);
+    });
+
+    it("runs nothing on an old proof after the clock has jumped", () => {
+        const bookings = new Bookings().settle();
+        const [caller, holder] = bookings.nodes;
+        const key = bookings.keyOwnedBy(caller!, owner => owner === holder);
+        const ctx = {
+            requestId: "0".repeat(32),
+            kind: "book",
+            key: `entry:${key}`,
+            deadlineMs: 1_000,
+            retries: 0,
+            depth: 1,
+            sender: "test",
+        };
+        const event = { type: "run_started", run: 1_000_000, ctx, fingerprint: "f", rand: 0 } as const;
+        const jumped = bookings.world.reduce(holder!.state, { ...event, now: bookings.world.now + 7_000 });
+        expect(jumped.effects.some(effect => effect.type === "forward_run")).to.equal(false);
+        const now = bookings.world.reduce(holder!.state, { ...event, now: bookings.world.now });
+        expect(now.effects.some(effect => effect.type === "forward_run")).to.equal(true);
+    });
+
+    it("runs a key on one side only when the minority reads the log", () => {
+        const bookings = new Bookings().settle();
+        const { nodes, world } = bookings;
+        const minority = nodes.slice(0, 2);
+        const majority = nodes.slice(2);
+        const keys = minority.map(node => bookings.keyOwnedBy(nodes[0]!, owner => owner === node));
+        world.setLinks(false, minority, majority);
+        world.setLinks(false, majority, ["log"]);
+        world.run(30_000);
+        const here = keys.map(key => bookings.book(minority[0]!, key));
+        const there = keys.map(key => bookings.book(majority[0]!, key));
+        expect(here.map(reasonOf)).to.deep.equal(["answered", "answered"]);
+        expect(there.map(reasonOf)).to.deep.equal(["owner-unreachable", "owner-unreachable"]);
+        expect(keys.map(key => bookings.starts(key))).to.deep.equal([1, 1]);
+    });
+
+    it("excludes a minority that cannot read the log, which then runs nothing", () => {
+        const bookings = new Bookings().settle();
+        const { nodes, world } = bookings;
+        const minority = nodes.slice(0, 2);
+        const majority = nodes.slice(2);
+        const keys = minority.map(node => bookings.keyOwnedBy(nodes[0]!, owner => owner === node));
+        world.setLinks(false, minority, majority);
+        world.setLinks(false, minority, ["log"]);
+        const first = keys.map(key => bookings.book(minority[0]!, key, 100));
+        world.run(30_000);
+        const here = keys.map(key => bookings.book(minority[0]!, key));
+        const there = keys.map(key => bookings.book(majority[0]!, key));
+        expect(first.map(reasonOf)).to.deep.equal(["answered", "answered"]);
+        expect(here.every(told => told?.type !== "answered" || told.status === 200)).to.equal(true);
+        expect(there.map(reasonOf)).to.deep.equal(["inherited-key", "inherited-key"]);
+        expect(keys.map(key => bookings.starts(key))).to.deep.equal([1, 1]);
+        const fresh = bookings.book(minority[0]!);
+        expect(reasonOf(fresh)).to.equal("no-proof");
+        expect(reasonOf(bookings.book(majority[0]!))).to.equal("answered");
+    });
+
+    it("books on with promises while the log is away for long, on the majority's side only", () => {
+        const bookings = new Bookings().settle();
+        const { nodes, world } = bookings;
+        world.log.outage = true;
+        world.run(60_000);
+        expect(reasonOf(bookings.book(nodes[0]!))).to.equal("answered");
+        world.setLinks(false, nodes.slice(0, 2), nodes.slice(2));
+        world.run(60_000);
+        expect(reasonOf(bookings.book(nodes[0]!))).to.equal("no-proof");
+        expect(reasonOf(bookings.book(nodes[2]!))).to.equal("answered");
+        world.log.outage = false;
+        world.setLinks(true, nodes.slice(0, 2), nodes.slice(2));
+        world.run(30_000);
+        expect(reasonOf(bookings.book(nodes[0]!))).to.equal("answered");
+    });
+
+    it("lets a node that cannot read the log run on reads that peers relay", () => {
+        const bookings = new Bookings().settle();
+        const { nodes, world } = bookings;
+        world.setLinks(false, [nodes[0]!], ["log"]);
+        nodes[4]!.killHost();
+        world.run(30_000);
+        const key = bookings.keyOwnedBy(nodes[1]!, owner => owner === nodes[0]);
+        expect(bookings.viewAt(nodes[0]!).version).to.equal(bookings.viewAt(nodes[1]!).version);
+        expect(reasonOf(bookings.book(nodes[1]!, key))).to.equal("answered");
+    });
+
+    it("tells of a request whose owner crashed that its outcome is unknown, and books on", () => {
+        const bookings = new Bookings().settle();
+        const [caller, holder] = bookings.nodes;
+        const key = bookings.keyOwnedBy(caller!, owner => owner === holder);
+        bookings.book(caller!, key, 100);
+        bookings.world.log.loseAnswers = true;
+        holder!.killHost();
+        bookings.world.run(20_000);
+        expect(resend(bookings, [caller!, bookings.nodes[2]!], key).map(reasonOf))
+            .to.deep.equal(["inherited-key", "inherited-key"]);
+        expect(bookings.starts(key)).to.equal(1);
+        expect(reasonOf(bookings.book(caller!))).to.equal("answered");
+    });
+
+    it("does not stop new bookings while a crashed member is still in the view", () => {
+        const bookings = new Bookings().settle();
+        bookings.nodes[1]!.killHost();
+        for (let i = 0; i < 40; i++) {
+            expect(reasonOf(bookings.book(bookings.nodes[0]!, undefined, 250))).to.equal("answered");
+        }
+    });
+
+    it("hands records over at a join, so that a resend gets its answer from the new owner", () => {
+        const bookings = new Bookings().settle();
+        const [caller] = bookings.nodes;
+        const keys = Array.from({ length: 40 }, (_, index) => `k${index}`);
+        keys.forEach(key => bookings.book(caller!, key, 20));
+        const joiner = bookings.add("booking", 0);
+        bookings.world.run(3_000);
+        const moved = keys.filter(key => bookings.ownerOf(caller!, key) === joiner);
+        expect(moved).not.to.have.length(0);
+        expect(moved.map(key => reasonOf(bookings.book(caller!, key, 500))))
+            .to.deep.equal(moved.map(() => "answered"));
+        expect(keys.map(key => bookings.starts(key))).to.deep.equal(keys.map(() => 1));
+        const fresh = bookings.keyOwnedBy(caller!, owner => owner === joiner, "fresh");
+        expect(reasonOf(bookings.book(caller!, fresh, 500))).to.equal("answered");
+    });
+
+    it("waits for a lapsed proof when the former owner of keys cannot hand them over", () => {
+        const bookings = new Bookings({ deadlineMs: 10_000 }).settle();
+        const { nodes, world } = bookings;
+        const joiner = bookings.add("booking", 0);
+        world.setLinks(false, [nodes[0]!], [joiner]);
+        world.run(2_000);
+        const before = bookings.viewAt(nodes[1]!).members.filter(member => member.id !== joiner.member.id);
+        const key = bookings.keyOwnedBy(
+            nodes[1]!,
+            owner => owner === joiner,
+            "moving",
+        );
+        expect(before).to.have.length(5);
+        const told: string[] = [];
+        for (let i = 0; i < 40; i++) {
+            const name = `${key}-${i}`;
+            if (bookings.ownerOf(nodes[1]!, name) === joiner) {
+                told.push(reasonOf(bookings.book(nodes[1]!, name, 10_500)));
+            }
+        }
+        expect(told).to.include("answered");
+        expect(told.filter(reason => reason !== "answered" && reason !== "inherited-key")).to.deep.equal([]);
+        expect(told).to.include("inherited-key");
+    });
+
+    it("stops nodes in turn without refusing or repeating a request", () => {
+        const bookings = new Bookings().settle();
+        const { world } = bookings;
+        const told = new Map<string, Told[]>();
+        const alive = () => bookings.nodes.filter(node => node.alive && !node.state.draining);
+        const send = (key: string) => {
+            const callers = alive();
+            const caller = callers[Math.floor(world.scheduler.random() * callers.length)]!;
+            world.request(caller, "book", answer => told.set(key, [...told.get(key) ?? [], answer]), { key });
+        };
+        for (let round = 0; round < 5; round++) {
+            const leaving = alive()[0]!;
+            bookings.add("booking", round);
+            world.run(5_000);
+            for (let i = 0; i < 200; i++) {
+                if (i === 50) leaving.drain();
+                send(`${round}-${i}`);
+                if (i > 10) send(`${round}-${i - 10}`);
+                if (round > 0) send(`${round - 1}-${i}`);
+                world.run(10);
+            }
+            world.run(5_000);
+            expect(leaving.alive).to.equal(false);
+        }
+        const reasons = [...told.values()].flat().map(reasonOf).filter(reason => reason !== "answered");
+        expect(reasons).to.deep.equal([]);
+        const keys = [...told.keys()];
+        expect(keys.filter(key => bookings.starts(key) !== 1)).to.deep.equal([]);
+    });
+
+    it("takes requests for the keys of a leaving node until its leave is in the log", () => {
+        const bookings = new Bookings({ deadlineMs: 300 }).settle();
+        const [caller, holder] = bookings.nodes;
+        const key = bookings.keyOwnedBy(caller!, owner => owner === holder);
+        bookings.world.log.slowMs = 800;
+        holder!.drain();
+        expect(reasonOf(bookings.book(caller!, key, 400))).to.equal("answered");
+    });
+
+    it("sends a request on when the caller's node reads of a leave too late", () => {
+        const bookings = new Bookings().settle();
+        const [caller, holder] = bookings.nodes;
+        const key = bookings.keyOwnedBy(caller!, owner => owner === holder);
+        bookings.world.setLinks(false, [caller!], ["log"]);
+        holder!.drain();
+        bookings.world.run(100);
+        let told: Told | undefined;
+        bookings.world.request(caller!, "book", answer => told = answer, { key });
+        bookings.world.run(10);
+        bookings.world.setLinks(true, [caller!], ["log"]);
+        bookings.world.run(2_000);
+        expect(reasonOf(told)).to.equal("answered");
+    });
+
+    it("gives new bookings to a new member although its keys have not been handed over", () => {
+        const bookings = new Bookings().settle();
+        const { nodes, world } = bookings;
+        const joiner = bookings.add("booking", 0);
+        world.setLinks(false, nodes.slice(3), [joiner]);
+        world.run(1_000);
+        for (let i = 0; i < 60; i++) {
+            expect(reasonOf(bookings.book(nodes[0]!, undefined, 30))).to.equal("answered");
+        }
+        expect(joiner.target.started).not.to.have.length(0);
+    });
+});
