--- a/src/keys.ts
+++ b/src/keys.ts
@@ -71,7 +71,7 @@
     const named = parseMintedKey(key)?.ownerId;
     if (named !== undefined && ids.includes(named)) return named;
     if (ids.length <= 1) return ids[0];
-    const slot = hash("sha256", key, "buffer").readUInt16BE(0) % SLOTS;
+    const slot = Number.parseInt(hash("sha256", key).slice(0, 4), 16) % SLOTS;
     let owners = slotOwners.get(ids);
     if (owners === undefined) {
         owners = [];
