Add the measurement of decisions under overload

Cause: policies need figures over whole chains, next to baselines, that are the same on each run. Change: npm run measure plays overload cases over the fakes for both deployments, and prints goodput against an ideal controller, wasted work, attempts, refusals and recovery. The baselines are no control with three retries at each layer, and a static limit with a per-hop retry budget. The fake node now passes a target's status on; before, a failed chain counted as answered. Fake targets take calls by kind and can fail fast.

--- /dev/null
+++ b/bench/cases.ts
@@ -0,0 +1,98 @@
+/** The overload cases of the table: what happens to a simulation, when, and which interval is the overload. */
+import type { Simulation } from "./simulation.ts";
+
+export const BASE_LOAD = 0.6;
+export const BEFORE_MS = 4_000;
+export const OVERLOAD_MS = 4_000;
+export const AFTER_MS = 6_000;
+
+export interface Case {
+    readonly name: string;
+    readonly clientRetries?: number;
+    /** Share of the bottleneck's capacity that is left during the overload; 1 if undefined. */
+    readonly capacity?: number;
+    /** Offered load during the overload. */
+    readonly load?: number;
+    readonly start?: (simulation: Simulation) => void;
+    readonly end?: (simulation: Simulation) => void;
+    readonly times?: number;
+}
+
+function slow(factor: number): Pick<Case, "capacity" | "start" | "end"> {
+    const set = (simulation: Simulation, value: number) => {
+        for (const node of simulation.nodesOf(simulation.setting.bottleneck)) node.target.slowdown = value;
+    };
+    return {
+        capacity: 1 / factor,
+        start: simulation => set(simulation, factor),
+        end: simulation => set(simulation, 1),
+    };
+}
+
+/** One instance answers errors at once and reports that it is well. */
+const lyingTarget: Pick<Case, "start" | "end"> = {
+    start: simulation => {
+        simulation.nodesOf(simulation.setting.bottleneck)[0]!.target.failing = true;
+    },
+    end: simulation => {
+        simulation.nodesOf(simulation.setting.bottleneck)[0]!.target.failing = false;
+    },
+};
+
+const COLD_STEPS = [8, 4, 2, 1];
+const COLD_STEP_MS = 500;
+
+/** Half of the bottleneck's targets run slowly at first, as after a restart. */
+function startCold(simulation: Simulation): void {
+    const nodes = simulation.nodesOf(simulation.setting.bottleneck);
+    for (const node of nodes.slice(0, Math.floor(nodes.length / 2))) {
+        COLD_STEPS.forEach((factor, index) => {
+            simulation.world.scheduler.after(index * COLD_STEP_MS, () => {
+                node.target.slowdown = factor;
+            });
+        });
+    }
+}
+
+export const cases: readonly Case[] = [
+    { name: "no overload", load: 0.9 },
+    { name: "recess x3", load: 3 },
+    { name: "surge x2", load: 2 },
+    { name: "surge x5", load: 5 },
+    { name: "surge x10", load: 10 },
+    { name: "surge x5 twice", load: 5, times: 2 },
+    { name: "slow x5", ...slow(5) },
+    { name: "slow x20", ...slow(20) },
+    { name: "client retries x3", load: 3, clientRetries: 5 },
+    { name: "lying target", ...lyingTarget },
+    { name: "cold half", start: startCold },
+    { name: "surge x3, slow x5", ...slow(5), load: 3 },
+    { name: "surge x3, lying target", ...lyingTarget, load: 3 },
+];
+
+export interface Interval {
+    readonly from: number;
+    readonly to: number;
+}
+
+/** Plays a case; returns the intervals of the overloads. */
+export function play(simulation: Simulation, played: Case): readonly Interval[] {
+    const { world } = simulation;
+    const intervals: Interval[] = [];
+    simulation.load = BASE_LOAD;
+    world.run(BEFORE_MS);
+    for (let i = 0; i < (played.times ?? 1); i++) {
+        const from = world.now;
+        simulation.load = played.load ?? BASE_LOAD;
+        played.start?.(simulation);
+        world.run(OVERLOAD_MS);
+        played.end?.(simulation);
+        simulation.load = BASE_LOAD;
+        intervals.push({ from, to: world.now });
+        if (i + 1 < (played.times ?? 1)) world.run(OVERLOAD_MS / 2);
+    }
+    world.run(AFTER_MS);
+    simulation.load = 0;
+    world.run(5_000);
+    return intervals;
+}
--- /dev/null
+++ b/bench/figures.ts
@@ -0,0 +1,121 @@
+/** Figures of one run: goodput against an ideal controller, wasted work, attempts and recovery. */
+import type { Case, Interval } from "./cases.ts";
+import { BEFORE_MS, play } from "./cases.ts";
+import type { Setting } from "./settings.ts";
+import { capacityOf } from "./settings.ts";
+import type { Sent, System } from "./simulation.ts";
+import { Simulation } from "./simulation.ts";
+
+export interface Figures {
+    /** Worth finished of the requests that arrived during the overload, as a share of the ideal. */
+    readonly weighted: number;
+    /** Finished of the requests that arrived during the overload, by kind. */
+    readonly goodput: Readonly<Record<string, number>>;
+    /** Finished of the kinds of priority 0, over the whole run. */
+    readonly vital: number;
+    /** Share of the targets' work that went into requests that failed. */
+    readonly wasted: number;
+    readonly attemptsMean: number;
+    /** Largest excess of extra attempts over the allowance; at most 0 if the promise holds. */
+    readonly extraOverAllowance: number;
+    /** Time from the end of the last overload; Infinity if not recovered in the run. */
+    readonly recoveryMs: number;
+    readonly refusals: Readonly<Record<string, number>>;
+}
+
+const BIN_MS = 250;
+/** A bin of this length gives enough samples of the kinds that count. */
+const WINDOW_MS = 1_000;
+const TOLERANCE = 0.05;
+
+export function measure(setting: Setting, played: Case, system: System, seed: number): Figures {
+    const simulation = new Simulation({
+        setting,
+        system,
+        seed,
+        ...(played.clientRetries === undefined ? {} : { clientRetries: played.clientRetries }),
+    });
+    const intervals = play(simulation, played);
+    const during = simulation.sent.filter(sent => intervals.some(({ from, to }) => isIn(sent, from, to)));
+    const usefulMs = sum(simulation.sent.filter(sent => sent.ok).map(sent => sent.workMs));
+    return {
+        weighted: worthOf(during) / idealWorth(setting, during, intervals, played.capacity ?? 1),
+        goodput: Object.fromEntries(
+            setting.kinds.map(kind => [kind.kind.name, okShare(during.filter(sent => sent.kind === kind))]),
+        ),
+        vital: okShare(simulation.sent.filter(sent => sent.kind.kind.priority === 0)),
+        wasted: 1 - usefulMs / simulation.totalWorkMs,
+        attemptsMean: sum(simulation.sent.map(sent => sent.attempts)) / simulation.sent.length,
+        extraOverAllowance: simulation.extraOverAllowance,
+        recoveryMs: recoveryOf(simulation, intervals.at(-1)!.to),
+        refusals: Object.fromEntries([...simulation.refusals].sort(([a], [b]) => a < b ? -1 : 1)),
+    };
+}
+
+function isIn(sent: Sent, from: number, to: number): boolean {
+    return sent.at >= from && sent.at < to;
+}
+
+export function sum(values: readonly number[]): number {
+    return values.reduce((a, b) => a + b, 0);
+}
+
+export function okShare(sent: readonly Sent[]): number {
+    return sent.length === 0 ? 1 : sent.filter(({ ok }) => ok).length / sent.length;
+}
+
+function worthOf(sent: readonly Sent[]): number {
+    return sum(sent.filter(({ ok }) => ok).map(({ kind }) => kind.kind.worth));
+}
+
+/** Worth of the best requests that fit the bottleneck's capacity; each passes the bottleneck once. */
+function idealWorth(
+    setting: Setting,
+    sent: readonly Sent[],
+    intervals: readonly Interval[],
+    capacity: number,
+): number {
+    const durationMs = sum(intervals.map(({ from, to }) => to - from));
+    const fits = Math.floor(capacityOf(setting) * capacity * durationMs / 1_000);
+    const worths = sent.map(({ kind }) => kind.kind.worth).sort((a, b) => b - a);
+    return sum(worths.slice(0, fits));
+}
+
+/**
+ * First time after the overload from which on two windows in a row are back: the worth of the finished requests as a
+ * share of the offered, and the mean latency of each of the two highest priorities with worth, within 5 % of
+ * before. Sampling error of two standard errors is allowed for, since service times are exponential.
+ */
+function recoveryOf(simulation: Simulation, endedAt: number): number {
+    const before = simulation.sent.filter(sent =>
+        isIn(sent, simulation.startedAt + 1_000, simulation.startedAt + BEFORE_MS)
+    );
+    const isBack = (at: number) =>
+        isWindowBack(simulation, before, simulation.sent.filter(sent => isIn(sent, at, at + WINDOW_MS)));
+    for (let at = endedAt; at + 2 * WINDOW_MS <= endedAt + 6_000; at += BIN_MS) {
+        if (isBack(at) && isBack(at + WINDOW_MS)) return at - endedAt;
+    }
+    return Infinity;
+}
+
+function isWindowBack(simulation: Simulation, before: readonly Sent[], now: readonly Sent[]): boolean {
+    const priorities = [
+        ...new Set(
+            simulation.setting.kinds.filter(({ kind }) => kind.worth > 0).map(({ kind }) => kind.priority),
+        ),
+    ].sort((a, b) => a - b).slice(0, 2);
+    return priorities.every(priority => {
+        const select = (all: readonly Sent[]) => all.filter(sent => sent.kind.kind.priority === priority);
+        const [then, since] = [select(before), select(now)];
+        if (okShare(since) < okShare(then) * (1 - TOLERANCE)) return false;
+        const [a, b] = [latencyOf(then), latencyOf(since)];
+        return b.mean <= a.mean * (1 + TOLERANCE) + 2 * Math.hypot(a.error, b.error);
+    });
+}
+
+function latencyOf(sent: readonly Sent[]): { readonly mean: number; readonly error: number; } {
+    const values = sent.filter(({ ok }) => ok).map(({ at, endedAt }) => endedAt! - at);
+    const mean = sum(values) / Math.max(1, values.length);
+    const variance = sum(values.map(value => (value - mean) ** 2)) / Math.max(1, values.length - 1);
+    return { mean, error: Math.sqrt(variance / Math.max(1, values.length)) };
+}
--- /dev/null
+++ b/bench/simulation.ts
@@ -0,0 +1,181 @@
+/** Runs a setting in virtual time, offers load, applies faults and collects what became of each request. */
+import type { FakeNode } from "../test/fakes/fakeNode.ts";
+import type { Told } from "../test/fakes/world.ts";
+import { World } from "../test/fakes/world.ts";
+import { createBaseline } from "./baselines.ts";
+import type { KindSetting, Setting } from "./settings.ts";
+import { capacityOf, configurationOf, serviceOf } from "./settings.ts";
+
+export const systems = ["filbertspool", "no-control", "static-limit"] as const;
+export type System = typeof systems[number];
+
+export interface Sent {
+    readonly kind: KindSetting;
+    readonly requestId: string;
+    readonly at: number;
+    endedAt?: number;
+    ok: boolean;
+    told?: Told;
+    attempts: number;
+    workMs: number;
+}
+
+export interface SimulationOptions {
+    readonly setting: Setting;
+    readonly seed: number;
+    readonly system?: System;
+    /** Resends of a failed request by its caller, which ignores retry-after. */
+    readonly clientRetries?: number;
+}
+
+/** Enough for all nodes of a service to join one after the other. */
+const JOIN_MS = 20_000;
+const CLIENT_RESEND_MS = 50;
+const REMOTE_DELAY_MS = 1;
+
+export class Simulation {
+    readonly world: World;
+    readonly setting: Setting;
+    readonly sent: Sent[] = [];
+    readonly refusals = new Map<string, number>();
+    /** Time at which the load starts. */
+    readonly startedAt: number;
+    totalWorkMs = 0;
+    /** Extra attempts of all calls of a request, without redirects. */
+    readonly extraAttempts = new Map<string, number>();
+    /** Largest excess of extra attempts over the allowance of the kind. */
+    extraOverAllowance = -Infinity;
+    clientRetries: number;
+    /** Offered load as a multiple of the bottleneck's capacity. */
+    load = 0;
+    private readonly byId = new Map<string, Sent>();
+    private readonly redirected = new Set<FakeNode>();
+
+    constructor(opts: SimulationOptions) {
+        const { setting } = opts;
+        this.setting = setting;
+        this.clientRetries = opts.clientRetries ?? 0;
+        const system = opts.system ?? "filbertspool";
+        const baseline = system === "filbertspool" ? undefined : createBaseline({
+            kinds: setting.kinds.map(({ kind }) => kind),
+            members: () => this.world.nodes.map(node => node.member),
+            retries: 3,
+            ...(system === "static-limit"
+                ? { limitOf: service => serviceOf(setting, service).slots, budget: 0.1 }
+                : { limitOf: service => serviceOf(setting, service).connections, queueLimit: 0 }),
+        });
+        this.world = new World({
+            seed: opts.seed,
+            ...(baseline === undefined ? {} : { reduce: baseline }),
+            remoteDelayMs: REMOTE_DELAY_MS,
+            onCount: (node, counter, label) => this.onCount(node, counter, label),
+        });
+        for (const service of setting.services) this.addService(service.name);
+        this.world.appendToLog({
+            type: "config",
+            id: "v1",
+            base: "none",
+            author: "simulation",
+            configuration: configurationOf(setting),
+        });
+        this.world.run(JOIN_MS);
+        this.startedAt = this.world.now;
+        this.offer();
+    }
+
+    nodesOf(service: string): readonly FakeNode[] {
+        return this.world.nodes.filter(node => node.member.service === service);
+    }
+
+    private addService(name: string): void {
+        const { instances, slots, serviceMs, calls } = serviceOf(this.setting, name);
+        const { dataCentres } = this.setting;
+        for (let i = 0; i < instances; i++) {
+            const dataCentre = dataCentres[i % dataCentres.length]!;
+            const node = this.world.addNode({
+                service: name,
+                dataCentre,
+                target: { slots, serviceMs, callsByKind: calls },
+            });
+            node.target.onWork = (task, workMs) => {
+                this.totalWorkMs += workMs;
+                const sent = this.byId.get(task.requestId);
+                if (sent !== undefined) sent.workMs += workMs;
+            };
+            node.onEffect = effect => {
+                if (effect.type !== "send_attempt") return;
+                const sent = this.byId.get(effect.ctx.requestId);
+                if (sent === undefined) return;
+                sent.attempts += 1;
+                if (effect.attempt === 0 || this.redirected.delete(node)) return;
+                const extra = (this.extraAttempts.get(effect.ctx.requestId) ?? 0) + 1;
+                this.extraAttempts.set(effect.ctx.requestId, extra);
+                this.extraOverAllowance = Math.max(
+                    this.extraOverAllowance,
+                    extra - sent.kind.kind.retries,
+                );
+            };
+        }
+    }
+
+    private onCount(node: FakeNode, counter: string, label: string): void {
+        if (counter === "redirects") this.redirected.add(node);
+        if (counter !== "refusals") return;
+        this.refusals.set(label, (this.refusals.get(label) ?? 0) + 1);
+    }
+
+    /** Sends one request after an exponentially distributed gap, and goes on. */
+    private offer(): void {
+        const { scheduler } = this.world;
+        const rate = this.load * capacityOf(this.setting);
+        if (rate === 0) return scheduler.after(10, () => this.offer());
+        scheduler.after(Math.min(50, scheduler.exponential(1_000 / rate)), () => {
+            if (this.load > 0) this.send(this.pickKind());
+            this.offer();
+        });
+    }
+
+    private pickKind(): KindSetting {
+        let rest = this.world.scheduler.random();
+        return this.setting.kinds.find(kind => (rest -= kind.share) < 0) ?? this.setting.kinds[0]!;
+    }
+
+    send(kind: KindSetting): Sent {
+        const { scheduler } = this.world;
+        const sent: Sent = {
+            kind,
+            requestId: this.world.hex(32),
+            at: this.world.now,
+            ok: false,
+            attempts: 0,
+            workMs: 0,
+        };
+        this.sent.push(sent);
+        this.byId.set(sent.requestId, sent);
+        const attempt = (requestId: string, resends: number) => {
+            const nodes = this.nodesOf(kind.entry).filter(node => node.alive);
+            const node = nodes[Math.floor(scheduler.random() * nodes.length)];
+            if (node === undefined) return;
+            const done = (told: Told) => {
+                scheduler.after(this.setting.callerDelayMs, () => {
+                    sent.told = told;
+                    sent.endedAt = this.world.now;
+                    const latencyMs = this.world.now - sent.at;
+                    sent.ok = told.type === "answered" && told.status === 200
+                        && latencyMs <= kind.kind.deadlineMs;
+                    if (sent.ok || resends === 0 || latencyMs >= kind.kind.deadlineMs) return;
+                    const next = this.world.hex(32);
+                    this.byId.set(next, sent);
+                    scheduler.after(CLIENT_RESEND_MS, () => attempt(next, resends - 1));
+                });
+            };
+            const key = kind.kind.nonIdempotent ? { key: sent.requestId } : {};
+            scheduler.after(
+                this.setting.callerDelayMs,
+                () => this.world.request(node, kind.kind.name, done, { requestId, ...key }),
+            );
+        };
+        attempt(sent.requestId, this.clientRetries);
+        return sent;
+    }
+}
--- a/test/fakes/fakeNode.ts
+++ b/test/fakes/fakeNode.ts
@@ -17,6 +17,7 @@
     readonly kind: string;
     readonly key?: string | undefined;
     readonly answer: Answer;
+    status?: number;
     cancel?: () => void;
 }
 
@@ -159,7 +160,7 @@
                 return this.answerRun(effect.run, effect.outcome, effect.retriesLeft, effect.load);
             case "relay_run":
                 return this.runs.get(effect.run)?.answer(
-                    { type: "ran", status: 200 },
+                    { type: "ran", status: this.runs.get(effect.run)?.status ?? 200 },
                     effect.retriesLeft,
                     effect.load,
                 );
@@ -293,6 +294,8 @@
             this.dispatch({ type: "run_ended", run, outcome: unknown("target-crashed") });
         }
         else {
+            const pending = this.runs.get(run);
+            if (pending !== undefined) pending.status = status;
             this.dispatch({ type: "run_answered", run, status });
             const answer = { status, contentType: "text/plain", body: "" };
             this.dispatch({ type: "run_ended", run, outcome: { type: "ran", status }, answer });
--- a/test/fakes/fakeTarget.ts
+++ b/test/fakes/fakeTarget.ts
@@ -18,6 +18,8 @@
     readonly serviceMs: number;
     /** Services called one after the other once the own work is done. */
     readonly calls?: readonly string[];
+    /** Takes precedence over `calls` for the kinds it names. */
+    readonly callsByKind?: Readonly<Record<string, readonly string[]>>;
     /** Calls a service through the node; calls back with whether it succeeded. */
     readonly callDeeper: (service: string, task: TargetTask, done: (status: number) => void) => void;
 }
@@ -36,6 +38,10 @@
     /** A request for which this holds crashes the target when it starts. */
     crashesOn: (task: TargetTask) => boolean = () => false;
     busyMs = 0;
+    /** Answers status 500 at once, while it still counts as healthy. */
+    failing = false;
+    /** Invoked with the time that a task will hold a slot for its own work. */
+    onWork: (task: TargetTask, serviceMs: number) => void = () => undefined;
     private readonly active = new Set<ActiveTask>();
     private readonly waiting: ActiveTask[] = [];
     private readonly scheduler: Scheduler;
@@ -90,14 +96,16 @@
         this.active.add(entry);
         this.started.push(entry.task);
         if (this.crashesOn(entry.task)) return this.crash();
+        if (this.failing) return this.scheduler.after(1, () => this.finish(entry, 500));
         const serviceMs = this.scheduler.exponential(this.opts.serviceMs) * this.slowdown;
         this.busyMs += serviceMs;
+        this.onWork(entry.task, serviceMs);
         this.scheduler.after(serviceMs, () => this.callNext(entry, 0));
     }
 
     private callNext(entry: ActiveTask, index: number): void {
         if (entry.cancelled) return this.free(entry);
-        const service = this.opts.calls?.[index];
+        const service = (this.opts.callsByKind?.[entry.task.kind] ?? this.opts.calls)?.[index];
         if (service === undefined) return this.finish(entry, 200);
         this.opts.callDeeper(service, entry.task, status => {
             if (status === 200) this.callNext(entry, index + 1);
