Shed at the entry by levels fed back from below

Cause: requests were refused at random deep in the chain, so the work above was wasted. Change: a limit by the gradient of the target's own latency, a queue by priority, an admission level computed from the demand by priority, levels returned per kind with the services below counted in, two random choices with own data centre first and ejection, and a retry budget. Status 500 of an idempotent kind may be repeated.

--- a/src/calls.ts
+++ b/src/calls.ts
@@ -6,9 +6,10 @@
 import type { Effect } from "./effects.ts";
 import type { CallStarted, EventOf, EventStamp } from "./events.ts";
 import { levelOf } from "./priority.ts";
-import { shareOf } from "./retries.ts";
-import { chooseMember, onAttemptEnded, onAttemptSent } from "./routing.ts";
-import { findParentRun, poolOfRun, setPoolOfRun } from "./runs.ts";
+import { earnBudget, hasBudget, isRetryableAnswer, payBudget, shareOf } from "./retries.ts";
+import type { Choice } from "./routing.ts";
+import { chooseMember, noteCallee, onAttemptEnded, onAttemptSent } from "./routing.ts";
+import { findParentRun, noteCallBegun, noteCallEnded, poolOfRun, setPoolOfRun, wakeTime } from "./runs.ts";
 import type { NodeState, Step } from "./state.ts";
 import { andThen, findKind, findService, step } from "./state.ts";
 import type { Kind, LoadReport, Member, NotRun, Outcome, RefusalReason, Unknown } from "./types.ts";
@@ -69,11 +70,18 @@
     const counted: Effect[] = [{ type: "count", counter: "calls", label: call.kind.name }];
     if (!event.tracked) counted.push({ type: "count", counter: "untracked_calls", label: event.service });
     return andThen(
-        step(putCall(state, call), ...counted, { type: "wake_at", at: call.deadlineAt }),
+        step(begun(state, call, event.now), ...counted, { type: "wake_at", at: wakeTime(call.deadlineAt) }),
         next => sendAttempt(next, call, event),
     );
 }
 
+function begun(state: NodeState, call: Call, now: number): NodeState {
+    const put = putCall(state, call);
+    if (call.pool.type === "own") return put;
+    const routing = noteCallee(put.routing, call.kind.name, call.service);
+    return noteCallBegun({ ...put, routing }, call.pool.run, now);
+}
+
 type Created = { readonly type: "call"; readonly call: Call; } | NotRun;
 
 function createCall(state: NodeState, event: CallStarted & EventStamp): Created {
@@ -115,16 +123,9 @@
 
 function sendAttempt(state: NodeState, call: Call, stamp: EventStamp): Step {
     const remainingMs = call.deadlineAt - stamp.now;
-    if (remainingMs <= 0) return endCall(state, call, notRun("deadline"));
-    const choice = chooseMember(state, {
-        service: call.service,
-        level: call.level,
-        tried: call.tried,
-        key: call.key,
-        now: stamp.now,
-        rand: stamp.rand,
-    });
-    if (choice.type === "not-run") return endCall(state, call, choice);
+    if (remainingMs <= 0) return endCall(state, call, notRun("deadline"), stamp.now);
+    const choice = chooseFor(state, call, stamp);
+    if (choice.type === "not-run") return endCall(state, call, choice, stamp.now);
     const handedDown = shareOf(heldBy(state, call.pool));
     const attempt: Attempt = { id: call.nextAttempt, member: choice.member, sentAt: stamp.now, handedDown };
     const sent: Call = {
@@ -155,6 +156,18 @@
     );
 }
 
+function chooseFor(state: NodeState, call: Call, stamp: EventStamp): Choice {
+    return chooseMember(state, {
+        service: call.service,
+        kind: call.kind.name,
+        level: call.level,
+        tried: call.tried,
+        key: call.key,
+        now: stamp.now,
+        rand: stamp.rand,
+    });
+}
+
 export function onAttemptAnswered(state: NodeState, event: EventOf<"attempt_answered">): Step {
     const call = state.calls.calls.get(event.call);
     if (call?.attempt === undefined || call.attempt.id !== event.attempt || call.relaying) {
@@ -163,23 +176,42 @@
     const attempt = call.attempt;
     const returned = changePool(state, call, Math.min(event.retriesLeft, attempt.handedDown));
     const current = returned.calls.calls.get(call.id)!;
+    const noted = noteResult(returned, current, attempt, event);
     if (event.outcome.type === "ran") {
+        const retried = isRetryableAnswer(event.outcome) ? retryAnswer(noted, current, event) : undefined;
+        if (retried !== undefined) return retried;
+        const relaying = putCall(noted, { ...current, relaying: true });
+        const budgets = event.outcome.status < 500
+            ? earnBudget(relaying.budgets, call.service)
+            : relaying.budgets;
         return step(
-            noteResult(putCall(returned, { ...current, relaying: true }), attempt, event),
+            { ...relaying, budgets },
             { type: "relay_answer", call: call.id, attempt: attempt.id },
         );
     }
-    const noted = noteResult(returned, attempt, event);
     return afterFailure(noted, { ...current, attempt: undefined }, event.outcome, event);
 }
 
+/** Repeats a call whose target failed, if it may be repeated and another member can take it. */
+function retryAnswer(state: NodeState, call: Call, stamp: EventStamp): Step | undefined {
+    if (!call.replayable || call.kind.nonIdempotent || !mayPay(state, call)) return undefined;
+    if (chooseFor(state, call, stamp).type === "not-run") return undefined;
+    const failed: Call = { ...call, attempt: undefined, mayHaveRun: unknown("target-error") };
+    return andThen(
+        step(putCall(state, failed), ...cancelAttempt(call)),
+        next => payAndSend(next, failed, "target-error", stamp),
+    );
+}
+
 function noteResult(
     state: NodeState,
+    call: Call,
     attempt: Attempt,
     event: EventStamp & { readonly outcome: Outcome; readonly load?: LoadReport | undefined; },
 ): NodeState {
     const routing = onAttemptEnded(state.routing, attempt.member.id, {
         now: event.now,
+        kind: call.kind.name,
         latencyMs: event.now - attempt.sentAt,
         outcome: event.outcome,
         load: event.load,
@@ -190,22 +222,44 @@
 /** Decides whether a failed attempt is followed by another one. */
 function afterFailure(state: NodeState, call: Call, outcome: NotRun | Unknown, stamp: EventStamp): Step {
     const marked: Call = outcome.type === "unknown" ? { ...call, mayHaveRun: outcome } : call;
-    if (!call.replayable) return endCall(state, marked, outcome);
+    if (!call.replayable) return endCall(state, marked, outcome, stamp.now);
     if (outcome.type === "not-run" && isRedirect(outcome.reason)) {
-        if (call.redirects >= REDIRECT_LIMIT) return endCall(state, marked, outcome);
+        if (call.redirects >= REDIRECT_LIMIT) return endCall(state, marked, outcome, stamp.now);
         const redirected = { ...marked, redirects: call.redirects + 1 };
-        return sendAttempt(putCall(state, redirected), redirected, stamp);
+        return andThen(
+            step(putCall(state, redirected), { type: "count", counter: "redirects", label: outcome.reason }),
+            next => sendAttempt(next, redirected, stamp),
+        );
     }
-    if (outcome.type === "unknown" && call.kind.nonIdempotent) return endCall(state, marked, outcome);
-    if (heldBy(state, call.pool) < 1) {
+    if (!mayRepeat(call, outcome)) return endCall(state, marked, outcome, stamp.now);
+    if (!mayPay(state, call)) {
+        const label = heldBy(state, call.pool) < 1 ? "allowance" : "budget";
         return andThen(
-            step(state, { type: "count", counter: "retries_denied", label: "allowance" }),
-            next => endCall(next, marked, outcome),
+            step(state, { type: "count", counter: "retries_denied", label }),
+            next => endCall(next, marked, outcome, stamp.now),
         );
     }
-    const paid = changePool(putCall(state, marked), marked, -1);
+    // A choice that is refused costs nothing, and its reason says more of the service than the first refusal.
+    const choice = chooseFor(state, marked, stamp);
+    if (choice.type === "not-run") return endCall(state, marked, outcome, stamp.now);
+    return payAndSend(putCall(state, marked), marked, outcome.reason, stamp);
+}
+
+function mayRepeat(call: Call, outcome: NotRun | Unknown): boolean {
+    if (outcome.type === "unknown") return !call.kind.nonIdempotent;
+    return outcome.reason === "over-limit" || outcome.reason === "level"
+        || outcome.reason === "queue-timeout";
+}
+
+function mayPay(state: NodeState, call: Call): boolean {
+    return heldBy(state, call.pool) >= 1 && hasBudget(state.budgets, call.service);
+}
+
+function payAndSend(state: NodeState, call: Call, label: string, stamp: EventStamp): Step {
+    const paid = changePool(putCall(state, call), call, -1);
+    const budgets = payBudget(paid.budgets, call.service);
     return andThen(
-        step(paid, { type: "count", counter: "retries", label: outcome.reason }),
+        step({ ...paid, budgets }, { type: "count", counter: "retries", label }),
         next => sendAttempt(next, next.calls.calls.get(call.id)!, stamp),
     );
 }
@@ -219,7 +273,7 @@
 export function onAttemptClosed(state: NodeState, event: EventOf<"attempt_closed">): Step {
     const call = state.calls.calls.get(event.call);
     if (call === undefined || call.attempt?.id !== event.attempt) return step(state);
-    const removed = removeCall(state, call);
+    const removed = removeCall(state, call, event.now, !event.complete);
     return event.complete
         ? step(removed)
         : step(removed, { type: "count", counter: "unknowns", label: "truncated" });
@@ -229,7 +283,7 @@
     const call = state.calls.calls.get(event.call);
     if (call === undefined) return step(state);
     return step(
-        abandonAttempt(removeCall(state, call), call, event.now, unknown("cancelled")),
+        abandonAttempt(removeCall(state, call, event.now, true), call, event.now, unknown("cancelled")),
         ...cancelAttempt(call),
     );
 }
@@ -237,21 +291,26 @@
 /** Ends the calls whose deadline has passed. */
 export function expireCalls(state: NodeState, stamp: EventStamp): Step {
     let result = step(state);
+    let nextAt = Infinity;
     for (const call of state.calls.calls.values()) {
-        if (call.deadlineAt > stamp.now) continue;
+        if (call.deadlineAt > stamp.now) {
+            nextAt = Math.min(nextAt, call.deadlineAt);
+            continue;
+        }
         const outcome = call.attempt === undefined ? notRun("deadline") : unknown("deadline");
         result = andThen(result, next =>
             andThen(
                 step(abandonAttempt(next, call, stamp.now, unknown("deadline")), ...cancelAttempt(call)),
-                abandoned => endCall(abandoned, call, outcome),
+                abandoned => endCall(abandoned, call, outcome, stamp.now),
             ));
     }
-    return result;
+    if (nextAt === Infinity) return result;
+    return step(result.state, ...result.effects, { type: "wake_at", at: wakeTime(nextAt) });
 }
 
 function abandonAttempt(state: NodeState, call: Call, now: number, outcome: Unknown): NodeState {
     if (call.attempt === undefined || call.relaying) return state;
-    return noteResult(state, call.attempt, { now, rand: 0, outcome });
+    return noteResult(state, call, call.attempt, { now, rand: 0, outcome });
 }
 
 function cancelAttempt(call: Call): readonly Effect[] {
@@ -260,9 +319,9 @@
         : [{ type: "cancel_attempt", call: call.id, attempt: call.attempt.id }];
 }
 
-function endCall(state: NodeState, call: Call, outcome: NotRun | Unknown): Step {
+function endCall(state: NodeState, call: Call, outcome: NotRun | Unknown, now: number): Step {
     const told = outcome.type === "not-run" ? call.mayHaveRun ?? outcome : outcome;
-    return step(removeCall(state, call), ...refusal(call.id, told));
+    return step(removeCall(state, call, now, true), ...refusal(call.id, told));
 }
 
 function refusal(call: number, outcome: NotRun | Unknown): readonly Effect[] {
@@ -290,6 +349,7 @@
     return { ...state, calls: { ...state.calls, calls: state.calls.calls.set(call.id, call) } };
 }
 
-function removeCall(state: NodeState, call: Call): NodeState {
-    return { ...state, calls: { ...state.calls, calls: state.calls.calls.delete(call.id) } };
+function removeCall(state: NodeState, call: Call, now: number, failed: boolean): NodeState {
+    const removed = { ...state, calls: { ...state.calls, calls: state.calls.calls.delete(call.id) } };
+    return call.pool.type === "own" ? removed : noteCallEnded(removed, call.pool.run, now, failed);
 }
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -78,6 +78,7 @@
     | "unknowns"
     | "retries"
     | "retries_denied"
+    | "redirects"
     | "late_answers"
     | "calls"
     | "runs"
--- a/src/metrics.ts
+++ b/src/metrics.ts
@@ -11,6 +11,7 @@
     unknowns: "reason",
     retries: "reason",
     retries_denied: "reason",
+    redirects: "reason",
     late_answers: "outcome",
     calls: "kind",
     runs: "kind",
--- a/src/retries.ts
+++ b/src/retries.ts
@@ -3,6 +3,8 @@
  * service has a budget as a share of its successes.
  */
 import type { Map } from "immutable";
+import { MAX_LEVEL } from "./levels.ts";
+import type { Outcome } from "./types.ts";
 import { emptyMap } from "./util.ts";
 
 export interface BudgetsState {
@@ -18,3 +20,36 @@
 export function shareOf(held: number): number {
     return Math.floor(held / 2);
 }
+
+const BUDGET_SHARE = 0.1;
+/** Lets a service that has few calls repeat some. */
+const FIRST_TOKENS = 10;
+const MOST_TOKENS = 100;
+
+/** Earns tokens for extra attempts of a service by a success. */
+export function earnBudget(state: BudgetsState, service: string): BudgetsState {
+    const tokens = state.tokens.get(service) ?? FIRST_TOKENS;
+    if (tokens >= MOST_TOKENS) return state;
+    return { ...state, tokens: state.tokens.set(service, tokens + BUDGET_SHARE) };
+}
+
+export function hasBudget(state: BudgetsState, service: string): boolean {
+    return (state.tokens.get(service) ?? FIRST_TOKENS) >= 1;
+}
+
+export function payBudget(state: BudgetsState, service: string): BudgetsState {
+    return { ...state, tokens: state.tokens.set(service, (state.tokens.get(service) ?? FIRST_TOKENS) - 1) };
+}
+
+/**
+ * Whether a target's own answer may be repeated elsewhere for an idempotent kind. Only status 500: a target answers
+ * 503 when a service below refused, and a repetition there would multiply the load of the overloaded service.
+ */
+export function isRetryableAnswer(outcome: Outcome): boolean {
+    return outcome.type === "ran" && outcome.status === 500;
+}
+
+/** Retry-after that grows as the cut-off falls, spread by a random number so that callers do not return together. */
+export function retryAfterFor(level: number, rand: number): number {
+    return Math.round((0.5 + rand) * 1_000 * (1 + 4 * (1 - Math.max(0, level) / MAX_LEVEL)));
+}
--- a/src/routing.ts
+++ b/src/routing.ts
@@ -1,7 +1,9 @@
 /** Choice of a target for an attempt, by what this node has seen of each member. */
 import type { Map } from "immutable";
+import { MAX_LEVEL } from "./levels.ts";
 import { isRoutable, membersOf } from "./membership.ts";
 import { ownerOf } from "./ownership.ts";
+import { retryAfterFor } from "./retries.ts";
 import type { NodeState } from "./state.ts";
 import type { LoadReport, Member, NotRun, Outcome } from "./types.ts";
 import { notRun } from "./types.ts";
@@ -11,18 +13,58 @@
 export interface TargetStats {
     readonly inFlight: number;
     readonly load?: LoadReport | undefined;
+    /** The last cut-off that the member told, by kind. */
+    readonly levels: Readonly<Record<string, ToldLevel>>;
+    readonly latencyMs: number;
+    /** Smoothed share of answers that were the target's own failures. */
+    readonly errorShare: number;
+    readonly results: number;
+    readonly ejectedUntil: number;
+    readonly ejections: number;
+}
+
+interface ToldLevel {
+    readonly level: number;
+    readonly at: number;
 }
 
+const NO_STATS: TargetStats = {
+    inFlight: 0,
+    levels: {},
+    latencyMs: 0,
+    errorShare: 0,
+    results: 0,
+    ejectedUntil: 0,
+    ejections: 0,
+};
+
 export interface RoutingState {
     readonly stats: Map<string, TargetStats>;
+    /** Services that runs of a kind were seen to call from this node. */
+    readonly callees: Map<string, readonly string[]>;
 }
 
 export function createRoutingState(): RoutingState {
-    return { stats: emptyMap() };
+    return { stats: emptyMap(), callees: emptyMap() };
 }
 
+/** A level that is not told anew rises from here on: without requests there is no news of its rise. */
+const LEVEL_FRESH_MS = 500;
+const LEVEL_RISE_PER_MS = 1;
+const LATENCY_SMOOTHING = 0.1;
+const ERROR_SMOOTHING = 0.2;
+const EJECT_ERROR_SHARE = 0.5;
+const EJECT_RESULTS = 5;
+const EJECT_MS = 1_000;
+const LONGEST_EJECT_MS = 4_000;
+/** Ejecting more would overload the rest. */
+const EJECTED_SHARE = 1 / 3;
+/** A member of another data centre must be cheaper by this factor, which pays for the way to it. */
+const REMOTE_FACTOR = 1.25;
+
 export interface ChoiceQuery {
     readonly service: string;
+    readonly kind: string;
     readonly level: number;
     /** Members already tried by this call. */
     readonly tried: readonly string[];
@@ -34,19 +76,73 @@
 
 export type Choice = { readonly type: "member"; readonly member: Member; } | NotRun;
 
-/** Chooses the less loaded of two random members. */
+/** Chooses the cheaper of two random members, the first from the own data centre if it has any. */
 export function chooseMember(state: NodeState, query: ChoiceQuery): Choice {
-    if (query.key !== undefined) return chooseOwner(state, query.service, query.key);
-    const members = membersOf(state, query.service).filter(member =>
+    if (query.key !== undefined) {
+        const choice = chooseOwner(state, query.service, query.key);
+        if (choice.type === "not-run" || levelOfMember(state, choice.member, query) >= query.level) {
+            return choice;
+        }
+        return notRun("level-at-caller", retryAfterMs(state, query));
+    }
+    const routable = membersOf(state, query.service).filter(member =>
         isRoutable(state, member) && !query.tried.includes(member.id)
     );
-    if (members.length === 0) return notRun("no-target");
-    const first = Math.floor(query.rand * members.length);
-    const second = (first + 1 + Math.floor(query.rand * 997) % Math.max(1, members.length - 1))
-        % members.length;
-    const a = members[first]!;
-    const b = members[second]!;
-    return { type: "member", member: inFlightOf(state, a) <= inFlightOf(state, b) ? a : b };
+    if (routable.length === 0) return notRun("no-target");
+    const open = routable.filter(member => levelOfMember(state, member, query) >= query.level);
+    if (open.length === 0) return notRun("level-at-caller", retryAfterMs(state, query));
+    const candidates = withoutEjected(state, open, query.now);
+    const near = candidates.filter(member => member.dataCentre === state.self.dataCentre);
+    const firsts = near.length > 0 ? near : candidates;
+    const scaled = query.rand * firsts.length;
+    const first = firsts[Math.floor(scaled)]!;
+    const others = candidates.filter(member => member !== first);
+    const second = others[Math.floor((scaled % 1) * others.length)];
+    if (second === undefined) return { type: "member", member: first };
+    return { type: "member", member: costOf(state, second) < costOf(state, first) ? second : first };
+}
+
+function withoutEjected(state: NodeState, members: readonly Member[], now: number): readonly Member[] {
+    const most = Math.floor(members.length * EJECTED_SHARE);
+    const ejected = members.filter(member => statsOf(state.routing, member.id).ejectedUntil > now).slice(
+        0,
+        most,
+    );
+    return ejected.length === 0 ? members : members.filter(member => !ejected.includes(member));
+}
+
+/** Expected time for the requests in flight and one more; an unknown latency counts as the least. */
+function costOf(state: NodeState, member: Member): number {
+    const { inFlight, latencyMs } = statsOf(state.routing, member.id);
+    const factor = member.dataCentre === state.self.dataCentre ? 1 : REMOTE_FACTOR;
+    return (inFlight + 1) * Math.max(1, latencyMs) * factor;
+}
+
+function statsOf(state: RoutingState, memberId: string): TargetStats {
+    return state.stats.get(memberId) ?? NO_STATS;
+}
+
+function levelOfMember(
+    state: NodeState,
+    member: Member,
+    query: { readonly kind: string; readonly now: number; },
+): number {
+    const told = statsOf(state.routing, member.id).levels[query.kind];
+    if (told === undefined) return MAX_LEVEL;
+    const staleMs = Math.max(0, query.now - told.at - LEVEL_FRESH_MS);
+    return Math.min(MAX_LEVEL, told.level + staleMs * LEVEL_RISE_PER_MS);
+}
+
+/** The highest cut-off that members of a service have told for a kind. */
+export function seenLevel(state: NodeState, service: string, kind: string, now: number): number {
+    const levels = membersOf(state, service).filter(member => isRoutable(state, member))
+        .map(member => levelOfMember(state, member, { kind, now }));
+    return levels.length === 0 ? MAX_LEVEL : Math.max(...levels);
+}
+
+/** Grows with overload and is spread, so that refused callers do not return together. */
+function retryAfterMs(state: NodeState, query: ChoiceQuery): number {
+    return retryAfterFor(seenLevel(state, query.service, query.kind, query.now), query.rand);
 }
 
 function chooseOwner(state: NodeState, service: string, key: string): Choice {
@@ -56,24 +152,65 @@
     return isRoutable(state, owner) ? { type: "member", member: owner } : notRun("owner-unreachable");
 }
 
-function inFlightOf(state: NodeState, member: Member): number {
-    return state.routing.stats.get(member.id)?.inFlight ?? 0;
-}
-
 export function onAttemptSent(state: RoutingState, member: Member): RoutingState {
-    const stats = state.stats.get(member.id) ?? { inFlight: 0 };
+    const stats = statsOf(state, member.id);
     return { ...state, stats: state.stats.set(member.id, { ...stats, inFlight: stats.inFlight + 1 }) };
 }
 
+/** Remembers that runs of a kind call a service. */
+export function noteCallee(state: RoutingState, kind: string, service: string): RoutingState {
+    const known = state.callees.get(kind) ?? [];
+    if (known.includes(service)) return state;
+    return { ...state, callees: state.callees.set(kind, [...known, service]) };
+}
+
 export interface AttemptResult {
     readonly now: number;
+    readonly kind: string;
     readonly latencyMs: number;
     readonly outcome: Outcome;
     readonly load?: LoadReport | undefined;
 }
 
 export function onAttemptEnded(state: RoutingState, memberId: string, result: AttemptResult): RoutingState {
-    const stats = state.stats.get(memberId) ?? { inFlight: 0 };
-    const next = { ...stats, inFlight: Math.max(0, stats.inFlight - 1), load: result.load ?? stats.load };
+    const stats = statsOf(state, memberId);
+    const { load, now } = result;
+    const levels = load === undefined
+        ? stats.levels
+        : { ...stats.levels, [result.kind]: { level: load.level, at: now } };
+    const counted = countResult({ ...stats, levels, load: load ?? stats.load }, result);
+    const next = { ...counted, inFlight: Math.max(0, stats.inFlight - 1) };
     return { ...state, stats: state.stats.set(memberId, next) };
 }
+
+function countResult(stats: TargetStats, result: AttemptResult): TargetStats {
+    const failed = isOwnFailure(result.outcome);
+    if (!failed && result.outcome.type !== "ran") return stats;
+    const errorShare = stats.errorShare + ERROR_SMOOTHING * (Number(failed) - stats.errorShare);
+    const results = stats.results + 1;
+    if (failed && errorShare > EJECT_ERROR_SHARE && results >= EJECT_RESULTS) {
+        const ejectMs = Math.min(LONGEST_EJECT_MS, EJECT_MS * 2 ** stats.ejections);
+        return {
+            ...stats,
+            errorShare: EJECT_ERROR_SHARE / 2,
+            results: 0,
+            ejectedUntil: result.now + ejectMs,
+            ejections: stats.ejections + 1,
+        };
+    }
+    // A failure that is fast says nothing of how fast the target works.
+    if (failed) return { ...stats, errorShare, results };
+    const latencyMs = stats.latencyMs === 0
+        ? result.latencyMs
+        : stats.latencyMs + LATENCY_SMOOTHING * (result.latencyMs - stats.latencyMs);
+    const ejections = errorShare < 0.05 ? 0 : stats.ejections;
+    return { ...stats, errorShare, results, latencyMs, ejections };
+}
+
+/** Status 503 is left out: targets answer it when a service below refused. */
+function isOwnFailure(outcome: Outcome): boolean {
+    if (outcome.type === "ran") return outcome.status === 500;
+    return outcome.type === "not-run"
+        ? outcome.reason === "connect-failed"
+        : outcome.reason === "connection-lost";
+}
--- a/src/runs.ts
+++ b/src/runs.ts
@@ -4,17 +4,22 @@
  */
 import type { List, Map } from "immutable";
 import { List as createList } from "immutable";
-import { hasCapacity, loadReport, onEnded, onForwarded } from "./admission.ts";
+import { hasCapacity, loadReport, onEnded, onForwarded, setLevels } from "./admission.ts";
 import type { EventOf, EventStamp } from "./events.ts";
+import type { LevelsState } from "./levels.ts";
+import { adaptLevel, noteArrival } from "./levels.ts";
 import { checkOwner } from "./ownership.ts";
-import { levelOf } from "./priority.ts";
+import { BUCKETS, levelOf } from "./priority.ts";
+import { retryAfterFor } from "./retries.ts";
+import { lastQueued, levelBelow, nextQueued, queueFill, queueLimit, reportFor } from "./runQueue.ts";
 import type { NodeState, Step } from "./state.ts";
 import { andThen, findKind, step } from "./state.ts";
 import type { CallContext, Kind, NotRun, Unknown } from "./types.ts";
 import { notRun, unknown } from "./types.ts";
 import { emptyMap } from "./util.ts";
 
-const QUEUE_LIMIT = 64;
+/** Deadlines are checked in steps, so that many of them share one wake. */
+const WAKE_STEP_MS = 20;
 
 export interface Run {
     readonly id: number;
@@ -28,6 +33,11 @@
     readonly forwardedAt?: number | undefined;
     /** Extra attempts that calls of this run may still use. */
     readonly retries: number;
+    /** Calls of this run in progress, since when there is one, and the time before that with at least one. */
+    readonly openCalls: number;
+    readonly callingSince: number;
+    readonly callingMs: number;
+    readonly callFailed: boolean;
 }
 
 export interface RunsState {
@@ -63,7 +73,7 @@
     const kind = findKind(state, event.ctx.kind);
     const refused = refuseAtArrival(state, event, kind);
     if (refused !== undefined || kind === undefined) {
-        return refuseRun(state, event.run, refused ?? notRun("unknown-kind"), event.ctx.retries);
+        return refuseRun(state, event.run, refused ?? notRun("unknown-kind"), event.ctx.retries, event);
     }
     const run: Run = {
         id: event.run,
@@ -75,21 +85,59 @@
         deadlineAt: event.now + event.ctx.deadlineMs,
         phase: "queued",
         retries: event.ctx.retries,
+        openCalls: 0,
+        callingSince: 0,
+        callingMs: 0,
+        callFailed: false,
     };
-    if (run.level > state.admission.level) {
-        return refuseRun(state, run.id, notRun("level", 1_000), run.retries);
+    return admit(adaptLevels(state, event), run, event);
+}
+
+function adaptLevels(state: NodeState, stamp: EventStamp): NodeState {
+    // While the limit still grows, a full queue says nothing of the target's capacity.
+    const floor = state.admission.growsFast ? BUCKETS - 1 : -1;
+    const levels = adaptLevel(state.admission.levels, stamp.now, queueFill(state), floor);
+    return { ...state, admission: setLevels(state.admission, levels) };
+}
+
+function noteLevels(state: NodeState, change: Partial<LevelsState>): NodeState {
+    return { ...state, admission: { ...state.admission, levels: { ...state.admission.levels, ...change } } };
+}
+
+function admit(before: NodeState, run: Run, stamp: EventStamp): Step {
+    const retryAfterMs = retryAfterFor(before.admission.level, stamp.rand);
+    const cutoff = Math.min(before.admission.level, levelBelow(before, run.kind, stamp.now));
+    if (run.level > cutoff) {
+        return refuseRun(before, run.id, notRun("level", retryAfterMs), run.retries, stamp, run.kind);
+    }
+    const state = noteLevels(before, noteArrival(before.admission.levels, run.level));
+    if (hasCapacity(state.admission)) {
+        return forward(putRun(noteLevels(state, { queueEmptied: true }), run), run, stamp);
     }
-    if (hasCapacity(state.admission)) return forward(putRun(state, run), run, event);
-    if (state.runs.queue.size >= QUEUE_LIMIT) {
-        return refuseRun(state, run.id, notRun("over-limit", 1_000), run.retries);
+    if (state.runs.queue.size < queueLimit(state)) return enqueue(state, run);
+    const dropped = noteLevels(state, { dropped: true });
+    const worst = lastQueued(state);
+    if (worst === undefined || worst.level <= run.level) {
+        return refuseRun(dropped, run.id, notRun("over-limit", retryAfterMs), run.retries, stamp, run.kind);
     }
+    return andThen(
+        endUnrun(dropped, worst, notRun("over-limit", retryAfterMs), stamp),
+        next => enqueue(next, run),
+    );
+}
+
+function enqueue(state: NodeState, run: Run): Step {
     const queued = putRun(state, run);
     return step(
         { ...queued, runs: { ...queued.runs, queue: queued.runs.queue.push(run.id) } },
-        { type: "wake_at", at: run.deadlineAt },
+        { type: "wake_at", at: wakeTime(run.deadlineAt) },
     );
 }
 
+export function wakeTime(deadlineAt: number): number {
+    return Math.ceil(deadlineAt / WAKE_STEP_MS) * WAKE_STEP_MS;
+}
+
 function refuseAtArrival(
     state: NodeState,
     event: EventOf<"run_started">,
@@ -159,22 +207,45 @@
         type: "relay_run",
         run: run.id,
         retriesLeft: run.retries,
-        load: loadReport(state.admission),
+        load: reportFor(state, run.kind, event.now),
+    });
+}
+
+/** Tells a run that its target has begun a call. */
+export function noteCallBegun(state: NodeState, id: number, now: number): NodeState {
+    const run = state.runs.runs.get(id);
+    if (run === undefined) return state;
+    const callingSince = run.openCalls === 0 ? now : run.callingSince;
+    return putRun(state, { ...run, openCalls: run.openCalls + 1, callingSince });
+}
+
+export function noteCallEnded(state: NodeState, id: number, now: number, failed: boolean): NodeState {
+    const run = state.runs.runs.get(id);
+    if (run === undefined) return state;
+    return putRun(state, {
+        ...run,
+        openCalls: run.openCalls - 1,
+        callingMs: run.callingMs + (run.openCalls === 1 ? now - run.callingSince : 0),
+        callFailed: run.callFailed || failed,
     });
 }
 
 export function onRunEnded(state: NodeState, event: EventOf<"run_ended">): Step {
     const run = state.runs.runs.get(event.run);
     if (run?.forwardedAt === undefined) return step(state);
+    const latencyMs = event.now - run.forwardedAt;
+    const calling = run.openCalls > 0 ? event.now - run.callingSince : 0;
+    const isCancelled = event.outcome.type === "unknown" && event.outcome.reason === "cancelled";
     const admission = onEnded(state.admission, {
         now: event.now,
-        latencyMs: event.now - run.forwardedAt,
-        ok: event.outcome.type === "ran" && event.outcome.status < 500,
+        latencyMs,
+        ownMs: latencyMs - run.callingMs - calling,
+        ok: run.callFailed || isCancelled || (event.outcome.type === "ran" && event.outcome.status < 500),
     });
     const ended = noteRecord({ ...removeRun(state, run), admission }, run, event);
     const refused = event.outcome.type === "ran" || run.phase === "answered"
         ? step(ended)
-        : refuseRun(ended, run.id, event.outcome, run.retries);
+        : refuseRun(ended, run.id, event.outcome, run.retries, event, run.kind);
     return andThen(refused, next => startQueued(next, event));
 }
 
@@ -193,20 +264,34 @@
 }
 
 function startQueued(state: NodeState, stamp: EventStamp): Step {
-    let result = step(state);
-    while (result.state.runs.queue.size > 0 && hasCapacity(result.state.admission)) {
-        const id = result.state.runs.queue.first()!;
-        result = andThen(result, next => {
-            const popped = { ...next, runs: { ...next.runs, queue: next.runs.queue.shift() } };
-            const run = popped.runs.runs.get(id);
-            if (run === undefined) return step(popped);
-            if (run.deadlineAt <= stamp.now) return endUnrun(popped, run, notRun("queue-timeout"));
-            return forward(popped, run, stamp);
-        });
+    let result = step(adaptLevels(state, stamp));
+    while (hasCapacity(result.state.admission)) {
+        const run = nextQueued(result.state);
+        if (run === undefined) {
+            return step(noteLevels(result.state, { queueEmptied: true }), ...result.effects);
+        }
+        result = andThen(result, next => startOrDrop(dequeue(next, run), run, stamp));
     }
     return result;
 }
 
+/** Drops a run that can no longer meet its deadline, by the own latency of the target. */
+function startOrDrop(state: NodeState, run: Run, stamp: EventStamp): Step {
+    const { baseMs = 0 } = state.admission;
+    if (run.deadlineAt > stamp.now + baseMs / 2) return forward(state, run, stamp);
+    const dropped = noteLevels(state, { dropped: true });
+    return endUnrun(
+        dropped,
+        run,
+        notRun("queue-timeout", retryAfterFor(state.admission.level, stamp.rand)),
+        stamp,
+    );
+}
+
+function dequeue(state: NodeState, run: Run): NodeState {
+    return { ...state, runs: { ...state.runs, queue: state.runs.queue.filter(id => id !== run.id) } };
+}
+
 export function onRunCancelled(state: NodeState, event: EventOf<"run_cancelled">): Step {
     const run = state.runs.runs.get(event.run);
     if (run === undefined) return step(state);
@@ -214,21 +299,33 @@
     return step(removeRun(state, run), { type: "count", counter: "refusals", label: "cancelled" });
 }
 
-/** Refuses queued runs whose deadline has passed and cancels forwarded ones. */
+/** Refuses queued runs whose deadline has passed. */
 export function expireRuns(state: NodeState, stamp: EventStamp): Step {
     let result = step(state);
-    for (const run of state.runs.runs.values()) {
-        if (run.deadlineAt > stamp.now || run.phase !== "queued") continue;
-        result = andThen(result, next => endUnrun(next, run, notRun("queue-timeout")));
+    let nextAt = Infinity;
+    for (const id of state.runs.queue) {
+        const run = state.runs.runs.get(id);
+        if (run === undefined) continue;
+        if (run.deadlineAt > stamp.now) nextAt = Math.min(nextAt, run.deadlineAt);
+        else result = andThen(result, next => endUnrun(next, run, notRun("queue-timeout"), stamp));
     }
-    return result;
+    if (nextAt === Infinity) return result;
+    return step(result.state, ...result.effects, { type: "wake_at", at: wakeTime(nextAt) });
 }
 
-function endUnrun(state: NodeState, run: Run, outcome: NotRun | Unknown): Step {
-    return refuseRun(removeRun(state, run), run.id, outcome, run.retries);
+function endUnrun(state: NodeState, run: Run, outcome: NotRun | Unknown, stamp?: EventStamp): Step {
+    return refuseRun(removeRun(state, run), run.id, outcome, run.retries, stamp, run.kind);
 }
 
-function refuseRun(state: NodeState, run: number, outcome: NotRun | Unknown, retriesLeft: number): Step {
+function refuseRun(
+    state: NodeState,
+    run: number,
+    outcome: NotRun | Unknown,
+    retriesLeft: number,
+    stamp?: EventStamp,
+    kind?: Kind,
+): Step {
+    const load = stamp === undefined ? loadReport(state.admission) : reportFor(state, kind, stamp.now);
     return step(
         state,
         {
@@ -236,7 +333,7 @@
             counter: outcome.type === "not-run" ? "refusals" : "unknowns",
             label: outcome.reason,
         },
-        { type: "refuse_run", run, outcome, retriesLeft, load: loadReport(state.admission) },
+        { type: "refuse_run", run, outcome, retriesLeft, load },
     );
 }
 
--- a/src/types.ts
+++ b/src/types.ts
@@ -131,6 +131,7 @@
     "connection-lost",
     "deadline",
     "target-crashed",
+    "target-error",
     "truncated",
     "cancelled",
     "inherited-key",
