--- a/src/minting.ts
+++ b/src/minting.ts
@@ -25,7 +25,7 @@
     if (event.key !== undefined) return { key: callerKey(event.from, event.key) };
     const keptAs = event.from === "egress" ? `${event.requestId}:${event.fingerprint}` : undefined;
     const kept = keptAs === undefined ? undefined : state.records.egressKeys.get(keptAs)?.key;
-    const call = { id: event.call, service: event.service, level, tried: [], nextAttempt: 0 };
+    const call = { id: event.call, service: event.service, kind, level, tried: [], nextAttempt: 0 };
     return { key: kept ?? mintKey(state, call, event), keptAs };
 }
 
@@ -60,7 +60,7 @@
 
 function mintKey(
     state: NodeState,
-    call: Pick<Call, "id" | "service" | "level" | "tried" | "nextAttempt">,
+    call: Pick<Call, "id" | "service" | "level" | "tried" | "kind" | "nextAttempt">,
     stamp: EventStamp,
 ): string {
     return formatMintedKey({
@@ -73,13 +73,20 @@
 /** The member that routing prefers, as far as it is in the view. */
 function preferredOwner(
     state: NodeState,
-    call: Pick<Call, "service" | "level" | "tried">,
+    call: Pick<Call, "service" | "level" | "tried" | "kind">,
     stamp: EventStamp,
 ): string | undefined {
     const view = state.control.views.get(call.service);
     if (view === undefined) return undefined;
-    const { service, level, tried } = call;
-    const choice = chooseMember(state, { service, level, tried, now: stamp.now, rand: stamp.rand });
+    const { service, level, tried, kind } = call;
+    const choice = chooseMember(state, {
+        service,
+        kind: kind.name,
+        level,
+        tried,
+        now: stamp.now,
+        rand: stamp.rand,
+    });
     if (choice.type === "member" && idsOf(view).includes(choice.member.id)) return choice.member.id;
     const routable = view.members.filter(member => isRoutable(state, member));
     const untried = routable.filter(member => !tried.includes(member.id));
--- a/test/fakes/fakeNode.ts
+++ b/test/fakes/fakeNode.ts
@@ -8,7 +8,7 @@
 import { assertNever, notRun, unknown } from "../../src/types.ts";
 import { FakeTarget } from "./fakeTarget.ts";
 import { DATAGRAM_ENVELOPE_BYTES, RPC_ENVELOPE_BYTES, Traffic } from "./traffic.ts";
-import type { NodeSpec, Told, World } from "./world.ts";
+import type { NewRequest, NodeSpec, Told, World } from "./world.ts";
 
 type EffectOf<T extends Effect["type"]> = Extract<Effect, { readonly type: T; }>;
 type Answer = (outcome: Outcome, retriesLeft: number, load: LoadReport) => void;
@@ -18,19 +18,13 @@
     readonly kind: string;
     readonly key?: string | undefined;
     readonly answer: Answer;
+    status?: number;
     cancel?: () => void;
 }
 
-export interface NewRequest {
-    readonly from: "entry" | "egress";
-    readonly service: string;
-    readonly requestId: string;
-    readonly kind?: string | undefined;
-    readonly key?: string | undefined;
-}
-
 const LOG_DELAY_MS = 2;
 const RPC_TIMEOUT_MS = 1_000;
+const LOSS_NOTICE_MS = 10;
 const ANNOUNCE_PERIOD_MS = 2_000;
 
 export class FakeNode {
@@ -49,6 +43,7 @@
     private readonly calls = new Map<number, (told: Told) => void>();
     private readonly attempts = new Map<string, { cancel: () => void; status?: number; }>();
     private readonly runs = new Map<number, PendingRun>();
+    private readonly lostRuns = new Map<number, () => void>();
     private readonly rpcs = new Map<number, (response: PeerResponse) => void>();
     private readonly held: (() => void)[] = [];
 
@@ -90,6 +85,10 @@
     /** Ends the node's process at once; the target beside it stays. */
     kill(): void {
         this.alive = false;
+        for (const [run, lost] of this.lostRuns) {
+            if (this.runs.has(run)) this.world.scheduler.after(LOSS_NOTICE_MS, lost);
+        }
+        this.lostRuns.clear();
     }
 
     /** Ends the whole host. */
@@ -160,7 +159,7 @@
                 return this.answerRun(effect.run, effect.outcome, effect.retriesLeft, effect.load);
             case "relay_run":
                 return this.runs.get(effect.run)?.answer(
-                    { type: "ran", status: 200 },
+                    { type: "ran", status: this.runs.get(effect.run)?.status ?? 200 },
                     effect.retriesLeft,
                     effect.load,
                 );
@@ -261,17 +260,17 @@
 
     /** Calls back when this node ends while the run is in progress: its connections break. */
     private onLost(run: number, lost: () => void): void {
-        const check = () => {
-            if (!this.runs.has(run)) return;
-            if (this.alive) this.world.scheduler.after(10, check);
-            else lost();
-        };
-        this.world.scheduler.after(10, check);
+        this.lostRuns.set(run, lost);
+    }
+
+    private forgetRun(run: number): void {
+        this.runs.delete(run);
+        this.lostRuns.delete(run);
     }
 
     private answerRun(run: number, outcome: Outcome, retriesLeft: number, load: LoadReport): void {
         const pending = this.runs.get(run);
-        this.runs.delete(run);
+        this.forgetRun(run);
         pending?.answer(outcome, retriesLeft, load);
     }
 
@@ -297,17 +296,19 @@
             this.dispatch({ type: "run_ended", run, outcome: unknown("target-crashed") });
         }
         else {
+            const pending = this.runs.get(run);
+            if (pending !== undefined) pending.status = status;
             this.dispatch({ type: "run_answered", run, status });
             const answer = { status, contentType: "text/plain", body: "" };
             this.dispatch({ type: "run_ended", run, outcome: { type: "ran", status }, answer });
         }
-        this.runs.delete(run);
+        this.forgetRun(run);
     }
 
     private cancelRun(run: number): void {
         this.runs.get(run)?.cancel?.();
         this.dispatch({ type: "run_ended", run, outcome: unknown("cancelled") });
-        this.runs.delete(run);
+        this.forgetRun(run);
     }
 
     private relayAnswer(effect: EffectOf<"relay_answer">): void {
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -40,6 +40,15 @@
     readonly joinAddresses?: readonly Member["address"][];
 }
 
+/** A request of a caller outside or of the target beside a node. */
+export interface NewRequest {
+    readonly from: "entry" | "egress";
+    readonly service: string;
+    readonly requestId: string;
+    readonly kind?: string | undefined;
+    readonly key?: string | undefined;
+}
+
 const CONNECT_TIMEOUT_MS = 1_000;
 const FIRST_PORT = 7_000;
 
--- a/test/records.test.ts
+++ b/test/records.test.ts
@@ -24,6 +24,10 @@
         startedAt: 0,
         deadlineAt: 1_000,
         phase: "forwarded",
+        openCalls: 0,
+        callingSince: 0,
+        callingMs: 0,
+        callFailed: false,
         retries: 0,
     };
 }
@@ -91,7 +95,10 @@
         const bookings = new Bookings().settle();
         const holder = bookings.ownerOf(bookings.nodes[0]!, "k");
         bookings.book(bookings.nodes[0]!, "k");
-        holder.state = { ...holder.state, admission: { ...holder.state.admission, level: -1 } };
+        const { admission } = holder.state;
+        // A window that starts later keeps the cut-off as it is.
+        const levels = { ...admission.levels, cutoff: -1, windowStart: bookings.world.now + 60_000 };
+        holder.state = { ...holder.state, admission: { ...admission, level: -1, levels } };
         expect(bookings.book(bookings.nodes[0]!, "k")).to.deep.equal({ type: "answered", status: 200 });
         const fresh = bookings.keyOwnedBy(bookings.nodes[0]!, owner => owner === holder, "fresh");
         expect(bookings.book(bookings.nodes[0]!, fresh)).to.include({ type: "not-run", reason: "level" });
