Take the latency of the concurrency limit by Little's law

Cause: answers show a queue in a target only after it has been waited for, so limits overshot three times the slots of the gallery at ten times its capacity. Change: latency is requests in progress over the rate at which own work finishes, at the first call of a run or at its end without one. Requests of priority 0 may exceed a limit that still grows.

--- a/bench/figures.ts
+++ b/bench/figures.ts
@@ -2,7 +2,7 @@
 import type { Case, Interval } from "./cases.ts";
 import { AFTER_MS, BEFORE_MS, play } from "./cases.ts";
 import type { Setting } from "./settings.ts";
-import { capacityOf } from "./settings.ts";
+import { serviceOf } from "./settings.ts";
 import type { Sent, System } from "./simulation.ts";
 import { Simulation } from "./simulation.ts";
 
@@ -68,7 +68,11 @@
     return sum(sent.filter(({ ok }) => ok).map(({ kind }) => kind.kind.worth));
 }
 
-/** Worth of the best requests that fit the bottleneck's capacity; each passes the bottleneck once. */
+/**
+ * Worth that an ideal controller could finish: the requests with the highest worth first, as far as the slots of the
+ * bottleneck go, which each request passes once. When the bottleneck is slowed, a part of the requests misses its
+ * deadline even on an idle target, and holds its slot until then.
+ */
 function idealWorth(
     setting: Setting,
     sent: readonly Sent[],
@@ -76,9 +80,17 @@
     capacity: number,
 ): number {
     const durationMs = sum(intervals.map(({ from, to }) => to - from));
-    const fits = Math.floor(capacityOf(setting) * capacity * durationMs / 1_000);
-    const worths = sent.map(({ kind }) => kind.kind.worth).sort((a, b) => b - a);
-    return sum(worths.slice(0, fits));
+    const { instances, slots, serviceMs } = serviceOf(setting, setting.bottleneck);
+    const meanMs = serviceMs / capacity;
+    let restMs = instances * slots * durationMs;
+    let worth = 0;
+    for (const { kind: { kind } } of [...sent].sort((a, b) => b.kind.kind.worth - a.kind.kind.worth)) {
+        const inTime = 1 - Math.exp(-kind.deadlineMs / meanMs);
+        restMs -= meanMs * inTime;
+        if (restMs < 0) break;
+        worth += kind.worth * inTime;
+    }
+    return worth;
 }
 
 /**
--- a/src/admission.ts
+++ b/src/admission.ts
@@ -1,8 +1,10 @@
 /**
  * Admission at ingress: how many requests the local target may have in progress. The limit follows the own
  * latency of the target (without the time its calls take) against the latency without a queue, as gradient limits
- * of proxies do. A gradient alone takes a slowed target for a queue inside it, so each decrease is a trial: when
- * latency does not fall with the requests in progress, there was no queue, and the higher latency is the new base.
+ * of proxies do. Latency is taken by Little's law, from the requests in progress and the rate at which they end: it
+ * shows a queue inside the target before the queued requests end, and has no bias to those that end first.
+ * A gradient alone takes a slowed target for a queue inside it, so each decrease is a trial: when latency does not
+ * fall with the requests in progress, there was no queue, and the higher latency is the new base.
  */
 import type { LevelsState } from "./levels.ts";
 import { createLevelsState } from "./levels.ts";
@@ -10,12 +12,14 @@
 
 export { MAX_LEVEL } from "./levels.ts";
 
-/** Low, since a cold target takes fewer requests than later; it doubles until latency rises. */
+/** Low, since a cold target takes fewer requests than later; it doubles in one latency until a queue shows. */
 const FIRST_LIMIT = 20;
 const MIN_LIMIT = 2;
 const WINDOW_MS = 100;
-const LONGEST_WINDOW_MS = 1_000;
 const WINDOW_SAMPLES = 30;
+/** A trial is judged on more samples, since a wrong verdict is costly. */
+const TRIAL_SAMPLES = 60;
+const LONGEST_WINDOW_MS = 1_000;
 /** Enough for a window that has become long. */
 const FEWEST_SAMPLES = 10;
 /** Latency over base at which a queue is assumed; service times vary by as much from window to window. */
@@ -32,6 +36,8 @@
 /** Share of the limit that must be in use for latency to tell of a queue. */
 const USED_SHARE = 0.8;
 const ERROR_SHARE = 0.3;
+/** Requests of priority 0 may exceed a limit that is still growing by this factor. */
+const VITAL_FACTOR = 2;
 
 export interface AdmissionState {
     /** Requests that may be in progress at the target at once. */
@@ -39,6 +45,8 @@
     /** Requests with a higher level are refused. */
     readonly level: number;
     readonly inFlight: number;
+    /** Requests in progress that wait for calls to other services. */
+    readonly calling: number;
     readonly levels: LevelsState;
     /** Own latency without a queue in the target. */
     readonly baseMs?: number | undefined;
@@ -46,15 +54,8 @@
     readonly samples: number;
     readonly ratio: number;
     readonly growsFast: boolean;
-    /**
-     * Requests that end before this time are no samples. After a change, and at first, those that end soonest are
-     * the shortest ones, and a limit that took them for typical collapsed.
-     */
-    readonly settledAt: number;
     /** Set after a decrease until no more requests are in progress than the limit allows. */
     readonly isDraining: boolean;
-    /** Latency with the time spent in calls. */
-    readonly totalMs: number;
     readonly trial?: Trial | undefined;
     readonly window: Window;
 }
@@ -67,14 +68,22 @@
 
 interface Window {
     readonly startedAt: number;
+    readonly at: number;
+    /** Integral over the window of the requests in progress that wait for no call, in requests times ms. */
+    readonly ownMs: number;
+    readonly totalMs: number;
+    /**
+     * Requests that finished their own work: at their first call, or at their end without one. Counting all at their
+     * end would show a queue at each surge, since the rate of ends lags by the time of the calls.
+     */
     readonly count: number;
+    readonly ended: number;
     readonly errors: number;
-    readonly latencyMs: number;
-    readonly totalMs: number;
-    readonly inFlight: number;
 }
 
-const NO_SAMPLES: Window = { startedAt: 0, count: 0, errors: 0, latencyMs: 0, totalMs: 0, inFlight: 0 };
+function startWindow(now: number): Window {
+    return { startedAt: now, at: now, ownMs: 0, totalMs: 0, count: 0, ended: 0, errors: 0 };
+}
 
 export function createAdmissionState(): AdmissionState {
     const levels = createLevelsState();
@@ -82,14 +91,13 @@
         limit: FIRST_LIMIT,
         level: levels.cutoff,
         inFlight: 0,
+        calling: 0,
         levels,
         samples: 0,
         ratio: 1,
         growsFast: true,
         isDraining: false,
-        settledAt: 0,
-        totalMs: 0,
-        window: NO_SAMPLES,
+        window: startWindow(0),
     };
 }
 
@@ -97,83 +105,92 @@
     return { ...state, levels, level: levels.cutoff };
 }
 
-export function hasCapacity(state: AdmissionState): boolean {
-    return state.inFlight < Math.floor(state.limit);
+export function hasCapacity(state: AdmissionState, priority: number): boolean {
+    const factor = state.growsFast && priority === 0 ? VITAL_FACTOR : 1;
+    return state.inFlight < Math.floor(state.limit) * factor;
 }
 
 export function loadReport(state: AdmissionState): LoadReport {
     return { level: state.level, inFlight: state.inFlight, limit: Math.floor(state.limit) };
 }
 
+function advance(state: AdmissionState, now: number): AdmissionState {
+    const { window } = state;
+    const elapsedMs = now - window.at;
+    if (elapsedMs <= 0) return state;
+    return {
+        ...state,
+        window: {
+            ...window,
+            at: now,
+            ownMs: window.ownMs + elapsedMs * (state.inFlight - state.calling),
+            totalMs: window.totalMs + elapsedMs * state.inFlight,
+        },
+    };
+}
+
 /** Counts a request that is sent to the target. */
-export function onForwarded(state: AdmissionState): AdmissionState {
-    return { ...state, inFlight: state.inFlight + 1 };
+export function onForwarded(state: AdmissionState, now: number): AdmissionState {
+    return { ...advance(state, now), inFlight: state.inFlight + 1 };
 }
 
-export interface Sample {
-    readonly now: number;
-    /** From the moment at which the request was sent to the target. */
-    readonly latencyMs: number;
-    /** Latency without the time spent in calls to other services. */
-    readonly ownMs: number;
-    readonly ok: boolean;
+/** Counts a request that begins (1) or ends (-1) to wait for calls. */
+export function onCalling(state: AdmissionState, now: number, by: 1 | -1): AdmissionState {
+    return { ...advance(state, now), calling: state.calling + by };
+}
+
+/** Counts a request that has finished its own work, and adapts the limit. */
+export function onOwnWorkDone(before: AdmissionState, now: number): AdmissionState {
+    const state = advance(before, now);
+    // Doubles the limit in one latency while it is in use and no queue in the target has been seen.
+    const isGrowing = state.growsFast && state.inFlight >= state.limit * USED_SHARE;
+    const { window } = state;
+    return sampleLimit({
+        ...state,
+        limit: isGrowing ? state.limit + 1 : state.limit,
+        window: { ...window, count: window.count + 1 },
+    }, now);
 }
 
-/** Counts a request that has ended at the target, and adapts the limit. */
-export function onEnded(state: AdmissionState, sample: Sample): AdmissionState {
-    const { levels } = state;
-    const ended = {
+/** Counts a request that has ended at the target; `ok` unless the target itself failed. */
+export function onEnded(before: AdmissionState, now: number, ok: boolean): AdmissionState {
+    const state = advance(before, now);
+    const { levels, window } = state;
+    return {
         ...state,
         inFlight: state.inFlight - 1,
         levels: { ...levels, completions: levels.completions + 1 },
+        window: { ...window, ended: window.ended + 1, errors: window.errors + (ok ? 0 : 1) },
     };
-    return sampleLimit(growFast(ended, sample), state.inFlight, sample);
 }
 
-/** Doubles the limit in one latency while it is in use and no queue in the target has been seen. */
-function growFast(state: AdmissionState, sample: Sample): AdmissionState {
-    const isUsed = state.inFlight + 1 >= state.limit * USED_SHARE;
-    return state.growsFast && isUsed && sample.ok ? { ...state, limit: state.limit + 1 } : state;
-}
-
-function sampleLimit(state: AdmissionState, inFlight: number, sample: Sample): AdmissionState {
-    if (state.isDraining && state.inFlight <= state.limit) {
-        return { ...state, isDraining: false, settledAt: sample.now + state.totalMs };
+function sampleLimit(state: AdmissionState, now: number): AdmissionState {
+    if (state.isDraining) {
+        return state.inFlight <= state.limit
+            ? { ...state, isDraining: false, window: startWindow(now) }
+            : state;
     }
-    if (state.isDraining || sample.now < state.settledAt) return state;
     const { window } = state;
-    const next: Window = {
-        startedAt: window.count === 0 ? sample.now : window.startedAt,
-        count: window.count + 1,
-        errors: window.errors + (sample.ok ? 0 : 1),
-        latencyMs: window.latencyMs + (sample.ok ? sample.ownMs : 0),
-        totalMs: window.totalMs + sample.latencyMs,
-        inFlight: window.inFlight + inFlight,
-    };
-    const elapsedMs = sample.now - next.startedAt;
-    const wanted = elapsedMs < LONGEST_WINDOW_MS ? WINDOW_SAMPLES : FEWEST_SAMPLES;
-    if (elapsedMs < WINDOW_MS || next.count < wanted) return { ...state, window: next };
-    const totalMs = next.totalMs / next.count;
-    const closed = { ...state, window: NO_SAMPLES, totalMs };
-    // The first window is none: the longest requests have not ended yet.
-    if (state.totalMs === 0) return { ...closed, settledAt: sample.now + totalMs };
-    return adaptLimit(closed, next);
+    const elapsedMs = now - window.startedAt;
+    const enough = state.trial === undefined ? WINDOW_SAMPLES : TRIAL_SAMPLES;
+    const wanted = elapsedMs < LONGEST_WINDOW_MS ? enough : FEWEST_SAMPLES;
+    if (elapsedMs < WINDOW_MS || window.count < wanted) return state;
+    return adaptLimit({ ...state, window: startWindow(now) }, window);
 }
 
 function adaptLimit(state: AdmissionState, window: Window): AdmissionState {
-    const errorShare = window.errors / window.count;
+    const errorShare = window.errors / Math.max(1, window.ended);
     if (errorShare > ERROR_SHARE) {
         return { ...state, limit: Math.max(MIN_LIMIT, state.limit * (1 - errorShare / 2)) };
     }
-    const latencyMs = window.latencyMs / (window.count - window.errors);
-    const inFlight = window.inFlight / window.count;
+    const latencyMs = window.ownMs / window.count;
+    const inFlight = window.totalMs / (window.at - window.startedAt);
     const judged = judgeTrial(state, latencyMs, inFlight);
     const baseMs = judged.baseMs ?? latencyMs;
     const isUsed = inFlight >= judged.limit * USED_SHARE;
     const ratio = latencyMs / baseMs;
     const smoothed = judged.ratio + 0.4 * (ratio - judged.ratio);
-    const noise = 2 / Math.sqrt(window.count);
-    const isJump = ratio > CONGESTED_RATIO + noise;
+    const isJump = ratio > CONGESTED_RATIO + 2 / Math.sqrt(window.count);
     if (isUsed && (isJump || smoothed > CONGESTED_RATIO)) {
         const decrease = Math.max(LARGEST_DECREASE, HEADROOM / (isJump ? ratio : smoothed));
         return {
--- a/src/runs.ts
+++ b/src/runs.ts
@@ -4,7 +4,15 @@
  */
 import type { List, Map } from "immutable";
 import { List as createList } from "immutable";
-import { hasCapacity, loadReport, onEnded, onForwarded, setLevels } from "./admission.ts";
+import {
+    hasCapacity,
+    loadReport,
+    onCalling,
+    onEnded,
+    onForwarded,
+    onOwnWorkDone,
+    setLevels,
+} from "./admission.ts";
 import type { EventOf, EventStamp } from "./events.ts";
 import type { LevelsState } from "./levels.ts";
 import { adaptLevel, noteArrival } from "./levels.ts";
@@ -33,10 +41,9 @@
     readonly forwardedAt?: number | undefined;
     /** Extra attempts that calls of this run may still use. */
     readonly retries: number;
-    /** Calls of this run in progress, since when there is one, and the time before that with at least one. */
+    /** Calls of this run in progress. */
     readonly openCalls: number;
-    readonly callingSince: number;
-    readonly callingMs: number;
+    readonly hasCalled: boolean;
     readonly callFailed: boolean;
 }
 
@@ -86,8 +93,7 @@
         phase: "queued",
         retries: event.ctx.retries,
         openCalls: 0,
-        callingSince: 0,
-        callingMs: 0,
+        hasCalled: false,
         callFailed: false,
     };
     return admit(adaptLevels(state, event), run, event);
@@ -111,7 +117,7 @@
         return refuseRun(before, run.id, notRun("level", retryAfterMs), run.retries, stamp, run.kind);
     }
     const state = noteLevels(before, noteArrival(before.admission.levels, run.level));
-    if (hasCapacity(state.admission)) {
+    if (hasCapacity(state.admission, run.kind.priority)) {
         return forward(putRun(noteLevels(state, { queueEmptied: true }), run), run, stamp);
     }
     if (state.runs.queue.size < queueLimit(state)) return enqueue(state, run);
@@ -185,7 +191,7 @@
     return step(
         {
             ...next,
-            admission: onForwarded(next.admission),
+            admission: onForwarded(next.admission, stamp.now),
             runs: { ...next.runs, byRequest: next.runs.byRequest.set(run.ctx.requestId, run.id) },
         },
         { type: "count", counter: "runs", label: run.kind.name },
@@ -215,33 +221,28 @@
 export function noteCallBegun(state: NodeState, id: number, now: number): NodeState {
     const run = state.runs.runs.get(id);
     if (run === undefined) return state;
-    const callingSince = run.openCalls === 0 ? now : run.callingSince;
-    return putRun(state, { ...run, openCalls: run.openCalls + 1, callingSince });
+    const next = putRun(state, { ...run, openCalls: run.openCalls + 1, hasCalled: true });
+    if (run.openCalls > 0) return next;
+    const admission = run.hasCalled ? next.admission : onOwnWorkDone(next.admission, now);
+    return { ...next, admission: onCalling(admission, now, 1) };
 }
 
 export function noteCallEnded(state: NodeState, id: number, now: number, failed: boolean): NodeState {
     const run = state.runs.runs.get(id);
     if (run === undefined) return state;
-    return putRun(state, {
-        ...run,
-        openCalls: run.openCalls - 1,
-        callingMs: run.callingMs + (run.openCalls === 1 ? now - run.callingSince : 0),
-        callFailed: run.callFailed || failed,
-    });
+    const callFailed = run.callFailed || failed;
+    const next = putRun(state, { ...run, openCalls: run.openCalls - 1, callFailed });
+    return run.openCalls > 1 ? next : { ...next, admission: onCalling(next.admission, now, -1) };
 }
 
 export function onRunEnded(state: NodeState, event: EventOf<"run_ended">): Step {
     const run = state.runs.runs.get(event.run);
     if (run?.forwardedAt === undefined) return step(state);
-    const latencyMs = event.now - run.forwardedAt;
-    const calling = run.openCalls > 0 ? event.now - run.callingSince : 0;
-    const isCancelled = event.outcome.type === "unknown" && event.outcome.reason === "cancelled";
-    const admission = onEnded(state.admission, {
-        now: event.now,
-        latencyMs,
-        ownMs: latencyMs - run.callingMs - calling,
-        ok: run.callFailed || isCancelled || (event.outcome.type === "ran" && event.outcome.status < 500),
-    });
+    const { now, outcome } = event;
+    const isCancelled = outcome.type === "unknown" && outcome.reason === "cancelled";
+    const isOk = run.callFailed || isCancelled || (outcome.type === "ran" && outcome.status < 500);
+    const called = run.openCalls > 0 ? onCalling(state.admission, now, -1) : state.admission;
+    const admission = onEnded(run.hasCalled ? called : onOwnWorkDone(called, now), now, isOk);
     const ended = noteRecord({ ...removeRun(state, run), admission }, run, event);
     const refused = event.outcome.type === "ran" || run.phase === "answered"
         ? step(ended)
@@ -265,14 +266,14 @@
 
 function startQueued(state: NodeState, stamp: EventStamp): Step {
     let result = step(adaptLevels(state, stamp));
-    while (hasCapacity(result.state.admission)) {
-        const run = nextQueued(result.state);
-        if (run === undefined) {
-            return step(noteLevels(result.state, { queueEmptied: true }), ...result.effects);
-        }
-        result = andThen(result, next => startOrDrop(dequeue(next, run), run, stamp));
+    let run = nextQueued(result.state);
+    while (run !== undefined) {
+        const next = run;
+        if (!hasCapacity(result.state.admission, next.kind.priority)) return result;
+        result = andThen(result, popped => startOrDrop(dequeue(popped, next), next, stamp));
+        run = nextQueued(result.state);
     }
-    return result;
+    return step(noteLevels(result.state, { queueEmptied: true }), ...result.effects);
 }
 
 /** Drops a run that can no longer meet its deadline, by the own latency of the target. */
