--- a/test/records.test.ts
+++ b/test/records.test.ts
@@ -25,8 +25,7 @@
         deadlineAt: 1_000,
         phase: "forwarded",
         openCalls: 0,
-        callingSince: 0,
-        callingMs: 0,
+        hasCalled: false,
         callFailed: false,
         retries: 0,
     };
