Carry membership messages as signed datagrams

Cause: send_datagram effects were dropped and nothing listened on UDP.

Change: datagrams.ts sends and receives JSON-RPC 2.0 notifications on the peer port. Bad datagrams are counted by reason (oversized, unsigned, forged, expired, json, malformed). Payload bytes of datagrams, RPC and the log go to the counters control_bytes_sent and control_bytes_received by channel.

Conclusion: test/datagrams.test.ts covers each reason and a trip over UDP.

--- a/src/runtime.ts
+++ b/src/runtime.ts
@@ -1,6 +1,7 @@
 /** Carries out the reducer's effects and feeds it events: the only place of a node that does I/O. */
 import { randomBytes } from "node:crypto";
 import { CallExchanges } from "./callExchanges.ts";
+import { Datagrams } from "./datagrams.ts";
 import type { Effect } from "./effects.ts";
 import { createEgressServer } from "./egressServer.ts";
 import { createEntryServer } from "./entryServer.ts";
@@ -48,6 +49,7 @@
     private readonly runs: RunExchanges;
     private readonly calls: CallExchanges;
     private readonly servers = new ServerGroup();
+    private readonly datagrams: Datagrams;
     private readonly auth: PeerAuth;
     private readonly queue: EventBody[] = [];
     private dispatching = false;
@@ -73,6 +75,13 @@
             (direction, bytes) => this.countBytes(direction, "log", bytes),
         );
         this.auth = new PeerAuth(settings.peerKey);
+        this.datagrams = new Datagrams({
+            self: settings.peer,
+            auth: this.auth,
+            onDatagram: (from, datagram) => this.dispatch({ type: "datagram_received", from, datagram }),
+            onBad: reason => this.metrics.count("bad_messages", reason),
+            onBytes: (direction, bytes) => this.countBytes(direction, "datagram", bytes),
+        });
         const dispatch = (event: EventBody) => this.dispatch(event);
         const observe = (phase: string, latencyMs: number) => this.metrics.observe(phase, latencyMs);
         this.runs = new RunExchanges({
@@ -110,6 +119,7 @@
             auth: this.auth,
             answerRpc: req => this.answerRpc(req),
         });
+        await this.datagrams.listen();
         await this.servers.listen(peer, settings.peer);
         await this.servers.listen(createEgressServer({ self, calls, dispatch }), settings.egress);
         await this.servers.listen(createEntryServer({ service: self.service, calls }), settings.entry);
@@ -127,6 +137,7 @@
         await this.servers.close();
         this.stopped = true;
         clearTimeout(this.wakeTimer);
+        this.datagrams.close();
         await Promise.allSettled([this.clients.close(), this.log.close()]);
     }
 
@@ -191,7 +202,8 @@
                 void this.append(effect);
                 return;
             case "send_datagram":
-                return;
+                this.metrics.count("control_messages", effect.datagram.type);
+                return this.datagrams.send(effect.to, effect.datagram);
             case "send_rpc":
                 void this.sendRpc(effect);
                 return;
