Keep every wake that the reducer asks for, and never wake early

Cause: the runtime kept one wake time. An earlier request replaced a later one, which was then lost, such as a call's deadline behind a log retry. And timers of Node.js count from the start of the event loop's turn, so a wake could come before its time; the reducer then found nothing due and did not ask again. Seen in the pause test: after a pause the log reader stopped for good and every key was refused "no-proof" for the rest of a 20 s run.

Change: wakeTimer.ts keeps a set of times on a 10 ms grid and wakes only when one has come.

Conclusion: test/wakeTimer.test.ts covers both faults on a clock of its own.

--- a/src/runtime.ts
+++ b/src/runtime.ts
@@ -23,10 +23,9 @@
 import type { NodeState } from "./state.ts";
 import type { Member } from "./types.ts";
 import { assertNever } from "./types.ts";
+import { WakeTimer } from "./wakeTimer.ts";
 
 const NS_PER_MS = 1_000_000;
-/** Wakes are rounded up to this grid, so that many deadlines share one timer. */
-const WAKE_GRID_MS = 10;
 /**
  * A drained node goes on refusing new work for this long. Each refusal ends its connection, so that few peers
  * are left that could write to a connection in the moment in which it is closed.
@@ -55,8 +54,10 @@
     private dispatching = false;
     private readonly rpcAnswers = new Map<number, (response: PeerResponse) => void>();
     private nextRpc = 1;
-    private wakeAt = Infinity;
-    private wakeTimer: NodeJS.Timeout | undefined;
+    private readonly wakes = new WakeTimer({
+        now: monotonicMs,
+        wake: () => this.dispatch({ type: "wake" }),
+    });
     private stopped = false;
     private exiting = false;
 
@@ -136,7 +137,7 @@
     async stop(): Promise<void> {
         await this.servers.close();
         this.stopped = true;
-        clearTimeout(this.wakeTimer);
+        this.wakes.stop();
         this.datagrams.close();
         await Promise.allSettled([this.clients.close(), this.log.close()]);
     }
@@ -212,7 +213,7 @@
                 this.rpcAnswers.delete(effect.token);
                 return;
             case "wake_at":
-                return this.scheduleWake(effect.at);
+                return this.wakes.wakeAt(effect.at);
             case "exit":
                 void this.exit();
                 return;
@@ -225,17 +226,6 @@
         }
     }
 
-    private scheduleWake(at: number): void {
-        if (at >= this.wakeAt || this.stopped) return;
-        clearTimeout(this.wakeTimer);
-        this.wakeAt = at;
-        const delayMs = Math.max(0, Math.ceil((at - monotonicMs()) / WAKE_GRID_MS) * WAKE_GRID_MS);
-        this.wakeTimer = setTimeout(() => {
-            this.wakeAt = Infinity;
-            this.dispatch({ type: "wake" });
-        }, delayMs);
-    }
-
     private async readLog(from: number, waitMs: number): Promise<void> {
         const askedAt = monotonicMs();
         try {
