Finish planned stops without cutting or refusing a request

Cause: "exit" was emitted only when a run ended, so a node whose last work was a call never exited.

Change: the reducer checks after every event whether a draining node is idle. Routing passes over a member that has said "draining". Of the reducer's files only these lines of reducer.ts and routing.ts change.

--- a/src/reducer.ts
+++ b/src/reducer.ts
@@ -10,6 +10,10 @@
 import { assertNever } from "./types.ts";
 
 export function reduce(state: NodeState, event: NodeEvent): Step {
+    return andThen(reduceEvent(state, event), exitWhenDrained);
+}
+
+function reduceEvent(state: NodeState, event: NodeEvent): Step {
     switch (event.type) {
         case "call_started":
             return onCallStarted(state, event);
@@ -24,7 +28,7 @@
         case "run_answered":
             return onRunAnswered(state, event);
         case "run_ended":
-            return andThen(onRunEnded(state, event), exitWhenDrained);
+            return onRunEnded(state, event);
         case "run_cancelled":
             return onRunCancelled(state, event);
         case "target_announced":
@@ -32,7 +36,7 @@
         case "target_lost":
             return onTargetLost(state);
         case "drain_requested":
-            return exitWhenDrained({ ...state, draining: true });
+            return step({ ...state, draining: true });
         case "log_read":
             return andThen(onLogRead(state, event), next => proposeJoin(next, event));
         case "log_gone":
--- a/src/routing.ts
+++ b/src/routing.ts
@@ -11,6 +11,8 @@
 export interface TargetStats {
     readonly inFlight: number;
     readonly load?: LoadReport | undefined;
+    /** The member has said that it is draining; an incarnation never takes work again after that. */
+    readonly draining?: boolean | undefined;
 }
 
 export interface RoutingState {
@@ -39,6 +41,7 @@
     if (query.key !== undefined) return chooseOwner(state, query.service, query.key);
     const members = membersOf(state, query.service).filter(member =>
         isRoutable(state, member) && !query.tried.includes(member.id)
+        && state.routing.stats.get(member.id)?.draining !== true
     );
     if (members.length === 0) return notRun("no-target");
     const first = Math.floor(query.rand * members.length);
@@ -74,6 +77,12 @@
 
 export function onAttemptEnded(state: RoutingState, memberId: string, result: AttemptResult): RoutingState {
     const stats = state.stats.get(memberId) ?? { inFlight: 0 };
-    const next = { ...stats, inFlight: Math.max(0, stats.inFlight - 1), load: result.load ?? stats.load };
+    const { outcome } = result;
+    const next = {
+        ...stats,
+        inFlight: Math.max(0, stats.inFlight - 1),
+        load: result.load ?? stats.load,
+        draining: stats.draining === true || (outcome.type === "not-run" && outcome.reason === "draining"),
+    };
     return { ...state, stats: state.stats.set(memberId, next) };
 }
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -32,6 +32,7 @@
             createKind("browse"),
             createKind("book", { nonIdempotent: true }),
             createKind("brief", { deadlineMs: 300 }),
+            createKind("brief-book", { deadlineMs: 300, nonIdempotent: true }),
         ],
         services: [
             { name: "calendar", calls: ["booking"], ...service },
