--- a/src/routing.ts
+++ b/src/routing.ts
@@ -21,6 +21,8 @@
     readonly results: number;
     readonly ejectedUntil: number;
     readonly ejections: number;
+    /** The member has said that it is draining; an incarnation never takes work again after that. */
+    readonly draining?: boolean | undefined;
 }
 
 interface ToldLevel {
@@ -87,6 +89,7 @@
     }
     const routable = membersOf(state, query.service).filter(member =>
         isRoutable(state, member) && !query.tried.includes(member.id)
+        && state.routing.stats.get(member.id)?.draining !== true
     );
     if (routable.length === 0) return notRun("no-target");
     const open = routable.filter(member => levelOfMember(state, member, query) >= query.level);
@@ -183,7 +186,11 @@
         ? stats.levels
         : { ...stats.levels, [result.kind]: { level: load.level, at: now } };
     const counted = countResult({ ...stats, levels, load: load ?? stats.load }, result);
-    const next = { ...counted, inFlight: Math.max(0, stats.inFlight - 1) };
+    const next = {
+        ...counted,
+        inFlight: Math.max(0, stats.inFlight - 1),
+        draining: stats.draining === true || isDrainingRefusal(result.outcome),
+    };
     return { ...state, stats: state.stats.set(memberId, next) };
 }
 
@@ -211,6 +218,10 @@
     return { ...stats, errorShare, results, latencyMs, ejections };
 }
 
+function isDrainingRefusal(outcome: Outcome): boolean {
+    return outcome.type === "not-run" && outcome.reason === "draining";
+}
+
 /** Status 503 is left out: targets answer it when a service below refused. */
 function isOwnFailure(outcome: Outcome): boolean {
     if (outcome.type === "ran") return outcome.status === 500;
--- a/src/runtime.ts
+++ b/src/runtime.ts
@@ -1,6 +1,7 @@
 /** Carries out the reducer's effects and feeds it events: the only place of a node that does I/O. */
 import { randomBytes } from "node:crypto";
 import { CallExchanges } from "./callExchanges.ts";
+import { Datagrams } from "./datagrams.ts";
 import type { Effect } from "./effects.ts";
 import { createEgressServer } from "./egressServer.ts";
 import { createEntryServer } from "./entryServer.ts";
@@ -22,10 +23,9 @@
 import type { NodeState } from "./state.ts";
 import type { Member } from "./types.ts";
 import { assertNever } from "./types.ts";
+import { WakeTimer } from "./wakeTimer.ts";
 
 const NS_PER_MS = 1_000_000;
-/** Wakes are rounded up to this grid, so that many deadlines share one timer. */
-const WAKE_GRID_MS = 10;
 /**
  * A drained node goes on refusing new work for this long. Each refusal ends its connection, so that few peers
  * are left that could write to a connection in the moment in which it is closed.
@@ -48,13 +48,16 @@
     private readonly runs: RunExchanges;
     private readonly calls: CallExchanges;
     private readonly servers = new ServerGroup();
+    private readonly datagrams: Datagrams;
     private readonly auth: PeerAuth;
     private readonly queue: EventBody[] = [];
     private dispatching = false;
     private readonly rpcAnswers = new Map<number, (response: PeerResponse) => void>();
     private nextRpc = 1;
-    private wakeAt = Infinity;
-    private wakeTimer: NodeJS.Timeout | undefined;
+    private readonly wakes = new WakeTimer({
+        now: monotonicMs,
+        wake: () => this.dispatch({ type: "wake" }),
+    });
     private stopped = false;
     private exiting = false;
 
@@ -73,6 +76,13 @@
             (direction, bytes) => this.countBytes(direction, "log", bytes),
         );
         this.auth = new PeerAuth(settings.peerKey);
+        this.datagrams = new Datagrams({
+            self: settings.peer,
+            auth: this.auth,
+            onDatagram: (from, datagram) => this.dispatch({ type: "datagram_received", from, datagram }),
+            onBad: reason => this.metrics.count("bad_messages", reason),
+            onBytes: (direction, bytes) => this.countBytes(direction, "datagram", bytes),
+        });
         const dispatch = (event: EventBody) => this.dispatch(event);
         const observe = (phase: string, latencyMs: number) => this.metrics.observe(phase, latencyMs);
         this.runs = new RunExchanges({
@@ -110,6 +120,7 @@
             auth: this.auth,
             answerRpc: req => this.answerRpc(req),
         });
+        await this.datagrams.listen();
         await this.servers.listen(peer, settings.peer);
         await this.servers.listen(createEgressServer({ self, calls, dispatch }), settings.egress);
         await this.servers.listen(createEntryServer({ service: self.service, calls }), settings.entry);
@@ -126,7 +137,8 @@
     async stop(): Promise<void> {
         await this.servers.close();
         this.stopped = true;
-        clearTimeout(this.wakeTimer);
+        this.wakes.stop();
+        this.datagrams.close();
         await Promise.allSettled([this.clients.close(), this.log.close()]);
     }
 
@@ -191,7 +203,8 @@
                 void this.append(effect);
                 return;
             case "send_datagram":
-                return;
+                this.metrics.count("control_messages", effect.datagram.type);
+                return this.datagrams.send(effect.to, effect.datagram);
             case "send_rpc":
                 void this.sendRpc(effect);
                 return;
@@ -200,7 +213,7 @@
                 this.rpcAnswers.delete(effect.token);
                 return;
             case "wake_at":
-                return this.scheduleWake(effect.at);
+                return this.wakes.wakeAt(effect.at);
             case "exit":
                 void this.exit();
                 return;
@@ -213,17 +226,6 @@
         }
     }
 
-    private scheduleWake(at: number): void {
-        if (at >= this.wakeAt || this.stopped) return;
-        clearTimeout(this.wakeTimer);
-        this.wakeAt = at;
-        const delayMs = Math.max(0, Math.ceil((at - monotonicMs()) / WAKE_GRID_MS) * WAKE_GRID_MS);
-        this.wakeTimer = setTimeout(() => {
-            this.wakeAt = Infinity;
-            this.dispatch({ type: "wake" });
-        }, delayMs);
-    }
-
     private async readLog(from: number, waitMs: number): Promise<void> {
         const askedAt = monotonicMs();
         try {
