Lose no wake that the reducer asks for, and let none come early

Cause: a wake asked for while an earlier one was pending was dropped, and a timer of Node.js can fire up to 1 ms early, when the reducer finds nothing due. A node whose first log read failed then never read again. Change: one timer for each step of the grid, armed again when it fires early. Conclusion: log reads, deadlines and proposals are no longer left without a wake.

--- a/src/runtime.ts
+++ b/src/runtime.ts
@@ -25,10 +25,9 @@
 import { statusOf } from "./status.ts";
 import type { Address, Member } from "./types.ts";
 import { assertNever } from "./types.ts";
+import { Wakes } from "./wakes.ts";
 
 const NS_PER_MS = 1_000_000;
-/** Wakes are rounded up to this grid, so that many deadlines share one timer. */
-const WAKE_GRID_MS = 10;
 
 export interface NodeRuntimeOptions {
     readonly settings: NodeSettings;
@@ -50,8 +49,7 @@
     private dispatching = false;
     private readonly rpcAnswers = new Map<number, (response: PeerResponse) => void>();
     private nextRpc = 1;
-    private wakeAt = Infinity;
-    private wakeTimer: NodeJS.Timeout | undefined;
+    private readonly wakes = new Wakes({ now: monotonicMs, onWake: () => this.dispatch({ type: "wake" }) });
     private stopped = false;
 
     constructor(opts: NodeRuntimeOptions) {
@@ -100,7 +98,7 @@
 
     async stop(): Promise<void> {
         this.stopped = true;
-        clearTimeout(this.wakeTimer);
+        this.wakes.stop();
         await Promise.allSettled(this.servers.map(server => server.close()));
         await Promise.allSettled([this.clients.close(), this.log.close()]);
     }
@@ -167,7 +165,7 @@
                 this.rpcAnswers.delete(effect.token);
                 return;
             case "wake_at":
-                return this.scheduleWake(effect.at);
+                return this.wakes.schedule(effect.at);
             case "exit":
                 return this.opts.onExit();
             case "count":
@@ -179,17 +177,6 @@
         }
     }
 
-    private scheduleWake(at: number): void {
-        if (at >= this.wakeAt || this.stopped) return;
-        clearTimeout(this.wakeTimer);
-        this.wakeAt = at;
-        const delayMs = Math.max(0, Math.ceil((at - monotonicMs()) / WAKE_GRID_MS) * WAKE_GRID_MS);
-        this.wakeTimer = setTimeout(() => {
-            this.wakeAt = Infinity;
-            this.dispatch({ type: "wake" });
-        }, delayMs);
-    }
-
     private async readLog(from: number, waitMs: number): Promise<void> {
         const askedAt = monotonicMs();
         try {
