--- a/test/fileSet.test.ts
+++ b/test/fileSet.test.ts
@@ -42,6 +42,13 @@
         expect(safeReadFileSet(createFileSet(renderFileSet(result.value)))).to.deep.equal(result);
     });
 
+    it("accepts every example", () => {
+        for (const name of ["demo", "zonnewacht", "sriharikota"]) {
+            const result = safeReadFileSet(`examples/${name}`);
+            expect(result.success ? [] : result.issues.map(formatIssue), name).to.deep.equal([]);
+        }
+    });
+
     it("names file, line and valid values of every fault at once", () => {
         const issues = issuesOf({
             "kinds.yaml": KINDS.replace("priority: 0", "priority: 9").replace("worth", "wroth"),
