Test the stand-in for callers, and leave out the index lines of diffs

Cause: nothing showed that a resend keeps its key and that each request is counted once; the diff repeated each file name in two more lines. Change: a test with a server that refuses; the diff begins with the two file lines. Conclusion: counts of trials can be compared with what a server saw.

--- a/src/configDiff.ts
+++ b/src/configDiff.ts
@@ -1,5 +1,5 @@
 /** What differs between two configurations: per file and name, and as text. */
-import { createTwoFilesPatch } from "diff";
+import { createTwoFilesPatch, FILE_HEADERS_ONLY } from "diff";
 import type { FileName } from "./files.ts";
 import { fileNames, renderFileSet } from "./files.ts";
 import type { Configuration } from "./types.ts";
@@ -24,7 +24,9 @@
         const oldText = oldTexts?.[file] ?? "";
         const newText = newTexts[file];
         if (oldText === newText) return [];
-        const patch = createTwoFilesPatch(file, file, oldText, newText, labels.before, labels.after);
+        const patch = createTwoFilesPatch(file, file, oldText, newText, labels.before, labels.after, {
+            headerOptions: FILE_HEADERS_ONLY,
+        });
         return [{ file, changes: changesOf(file, before, after), patch }];
     });
 }
--- /dev/null
+++ b/test/operatorCaller.test.ts
@@ -0,0 +1,44 @@
+/** The load-sending stand-in: a resend with another key, or a lost outcome, would make trials say something false. */
+import { expect } from "chai";
+import { fastify } from "fastify";
+import type { AddressInfo } from "node:net";
+import { Caller } from "../src/standins/caller.ts";
+
+describe("stand-in for callers", () => {
+    it("resends refused requests with the same key and counts each final outcome once", async () => {
+        const keys = new Map<unknown, number>();
+        const server = fastify();
+        const enough = new Promise<void>(resolve => {
+            server.post("/today", async (req, reply) => {
+                const key = req.headers["idempotency-key"];
+                const tries = (keys.get(key) ?? 0) + 1;
+                keys.set(key, tries);
+                // The first key is refused for good; every other one only once.
+                const isFirst = key === [...keys.keys()][0];
+                if (isFirst && tries === 3) resolve();
+                const refuse = tries === 1 || isFirst;
+                return refuse ? reply.code(503).send({ outcome: "not-run", reason: "level" }) : { ok: true };
+            });
+        });
+        await server.listen({ host: "127.0.0.1", port: 0 });
+        const { port } = server.server.address() as AddressInfo;
+        const entries = [{ host: "127.0.0.1", port }];
+        const caller = new Caller({
+            entries,
+            path: "/today",
+            ratePerS: 50,
+            resends: 2,
+            backoffMs: 1,
+            keys: true,
+        });
+        caller.start();
+        await enough;
+        await caller.stop();
+        await server.close();
+        const { requests, ok, resends, "not-run: level": refused } = caller.outcomes();
+        expect(requests).to.equal(keys.size);
+        expect((ok ?? 0) + (refused ?? 0)).to.equal(requests);
+        expect(resends).to.equal([...keys.values()].reduce((sum, tries) => sum + tries - 1, 0));
+        expect([...keys.values()][0]).to.equal(3);
+    });
+});
