--- /dev/null
+++ b/test/operatorPages.test.ts
@@ -0,0 +1,16 @@
+/** The operators' page: a counter or reason without an entry leaves an operator without advice. */
+import { expect } from "chai";
+import { readFileSync } from "node:fs";
+import { Metrics } from "../src/metrics.ts";
+import { refusalReasons, unknownReasons } from "../src/types.ts";
+
+describe("operators' page", () => {
+    it("has an entry for each counter, refusal reason and unknown reason", async () => {
+        const page = readFileSync("docs/operators.md", "utf8");
+        const counters = Object.keys(await new Metrics().allValues());
+        const missing = [...counters, ...refusalReasons, ...unknownReasons].filter(name =>
+            !page.includes(`| \`${name}\` |`)
+        );
+        expect(missing).to.deep.equal([]);
+    });
+});
