Test that any content of a file set gives issues and no exception

Cause: a crash on odd YAML would hide the other faults. Change: a property test with 200 generated file sets of fixed seed. Conclusion: every issue is one line that begins with a file and a line.

--- a/test/fileSet.test.ts
+++ b/test/fileSet.test.ts
@@ -1,5 +1,6 @@
 /** The declarative file set: a faulty set must be refused as a whole, with the place of every fault. */
 import { expect } from "chai";
+import * as fc from "fast-check";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -75,6 +76,36 @@
         expect(missing.success ? [] : missing.issues.map(issue => issue.code)).to.deep.equal(["directory"]);
     });
 
+    it("gives issues with a file and no exception for any content", () => {
+        const value = fc.jsonValue({ maxDepth: 3 });
+        const item = fc.dictionary(
+            fc.constantFrom("name", "priority", "calls", "defaultKind", "service"),
+            value,
+        );
+        const list = fc.oneof(value, fc.array(item, { maxLength: 3 }));
+        const content = (key: string) =>
+            fc.oneof(
+                fc.string(),
+                list.map(inner => JSON.stringify({ [key]: inner })),
+                value.map(v => JSON.stringify(v)),
+            );
+        const files = fc.record({
+            "kinds.yaml": content("kinds"),
+            "services.yaml": content("services"),
+            "settings.yaml": content("replacedServices"),
+        });
+        fc.assert(
+            fc.property(files, texts => {
+                const issues = issuesOf(texts);
+                expect(issues.length).to.be.greaterThan(0);
+                for (const issue of issues) {
+                    expect(issue).to.match(/^(kinds|services|settings)\.yaml:\d+: [^\n]+$/);
+                }
+            }),
+            { numRuns: 200, seed: 7 },
+        );
+    });
+
     it("finds faults between items: names, default kinds, calls, cycles, deadlines", () => {
         const issues = issuesOf({
             "kinds.yaml": `${KINDS}${KINDS.slice("kinds:\n".length).replace("2000", "700000")}`,
