Relay bodies without stream.pipeline, and take ids from randomUUID

Cause: a CPU profile at 520 calls/s showed about a tenth of a node's busy time in the abort signal and DOMException that stream.pipeline makes for each body, and 2 % in randomBytes.

Change: relayBody pipes and handles both closes itself. Trace and span ids come from randomUUID, which draws from a cache.

CPU time a call and node, medians of three runs on a shared machine (load average 13 on 10 cores): 1.96 ms before and 1.76 ms after at 52 calls/s, 0.71 and 0.68 ms at 520. Added latency is lost in the noise of that load.

--- a/src/headers.ts
+++ b/src/headers.ts
@@ -1,4 +1,5 @@
 /** Headers of calls: W3C trace context and baggage, the `fp-` headers between nodes, and hop-by-hop headers. */
+import { randomUUID } from "node:crypto";
 import type { IncomingHttpHeaders } from "node:http";
 import { safeParseCallContext, safeParseJson, safeParseLoadReport } from "./parse.ts";
 import type {
@@ -55,6 +56,17 @@
     return traceId === "0".repeat(32) ? undefined : traceId;
 }
 
+/** `randomUUID` draws from a cache; `randomBytes` enters the system's generator for each call. */
+export function createTraceId(): string {
+    return randomUUID().replaceAll("-", "");
+}
+
+export function createSpanId(): string {
+    const id = createTraceId();
+    // Without the digits of a UUID that are fixed.
+    return id.slice(0, 8) + id.slice(24);
+}
+
 export function traceparent(traceId: string, spanId: string): string {
     return `00-${traceId}-${spanId}-01`;
 }
--- a/src/httpServers.ts
+++ b/src/httpServers.ts
@@ -1,11 +1,10 @@
 /** Requests that arrive at a node's listeners, and the answers to them. */
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
 import { fastify } from "fastify";
-import { randomBytes } from "node:crypto";
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from "node:http";
-import { pipeline } from "node:stream";
+import type { Readable } from "node:stream";
 import type { CallReply, HttpRequest, RunReply } from "./exchanges.ts";
-import { answerHeaders, baggageMember, traceIdOf } from "./headers.ts";
+import { answerHeaders, baggageMember, createTraceId, traceIdOf } from "./headers.ts";
 import type { NotRun, Unknown } from "./types.ts";
 
 /** Larger bodies of calls are streamed; larger control messages are refused with 413. */
@@ -69,7 +68,7 @@
     headers: IncomingHttpHeaders,
 ): { readonly requestId: string; readonly tracked: boolean; } {
     const traceId = traceIdOf(headers);
-    return { requestId: traceId ?? randomBytes(16).toString("hex"), tracked: traceId !== undefined };
+    return { requestId: traceId ?? createTraceId(), tracked: traceId !== undefined };
 }
 
 export interface Claims {
@@ -107,12 +106,27 @@
     }
 }
 
+/**
+ * Streams a body to its requester; a body cut short destroys the connection. `stream.pipeline` does the same,
+ * but makes an abort signal and an exception for each body, which cost a tenth of a node's CPU time.
+ */
+function relayBody(body: Readable, res: ServerResponse, done: (complete: boolean) => void): void {
+    body.once("close", () => {
+        if (!body.readableEnded) res.destroy();
+    });
+    res.once("close", () => {
+        if (!res.writableFinished) body.destroy();
+        done(res.writableFinished);
+    });
+    body.pipe(res);
+}
+
 export function createCallReply(req: IncomingMessage, res: ServerResponse): CallReply {
     return {
         relay: (answer, done) => {
             if (res.destroyed) return done(false);
             res.writeHead(answer.status, answer.headers);
-            pipeline(answer.body, res, err => done(!err));
+            relayBody(answer.body, res, done);
         },
         refuse: (outcome, requestId) => {
             const retryAfterMs = outcome.type === "not-run" ? outcome.retryAfterMs : 0;
@@ -130,7 +144,7 @@
             if (res.destroyed) return void answer.body.destroy();
             const ours = answerHeaders({ type: "ran", status: answer.status }, retriesLeft, load);
             res.writeHead(answer.status, { ...answer.headers, ...ours });
-            pipeline(answer.body, res, () => undefined);
+            relayBody(answer.body, res, () => undefined);
         },
         refuse: (outcome, retriesLeft, load) => {
             sendRefusal(req, res, refusalStatus(outcome), answerHeaders(outcome, retriesLeft, load), "");
--- a/src/runtime.ts
+++ b/src/runtime.ts
@@ -7,6 +7,7 @@
 import { createEntryServer } from "./entryServer.ts";
 import { messageOf } from "./errors.ts";
 import type { EventBody } from "./events.ts";
+import { createSpanId } from "./headers.ts";
 import { HttpClients } from "./httpClients.ts";
 import { createNodeState } from "./initialState.ts";
 import { logEvent } from "./log.ts";
@@ -90,7 +91,7 @@
             dispatch,
             now: monotonicMs,
             observe,
-            spanId: () => randomBytes(8).toString("hex"),
+            spanId: createSpanId,
         });
         this.calls = new CallExchanges({
             selfId: this.self.id,
