Carry the control log over expiry, outages and partitions

Cause: a reader started at the first retained record without the state before it, showed the versions in between on its way to the tail, and knew nothing while the log was away. An append without an answer was repeated without pause. Change: readers start from a checkpoint, a peer's replayed state or a bridge, and put nothing in force before the tail. What peers pass on is kept apart from what was replayed: it is in force where it is newer, skips no record and renews no proof. Nodes write checkpoints and bridges after random waits. A view without voters needs no backers, and replacedServices empties a view. Conclusion: no fault tried took a version back or lost one that a running node or the log still had.

--- /dev/null
+++ b/src/checkpointWriter.ts
@@ -0,0 +1,60 @@
+/** When a node writes a checkpoint, and when it bridges the log. */
+import { createBridge, createCheckpoint } from "./checkpoints.ts";
+import { numberOf, replayedOf } from "./controlLog.ts";
+import type { EventStamp } from "./events.ts";
+import { append, isLogAway, withReader } from "./logReader.ts";
+import type { NodeState, Step } from "./state.ts";
+import { step } from "./state.ts";
+
+/** Of 950 nodes about two write a checkpoint each time. */
+const CHECKPOINT_PERIOD_MS = 600_000;
+const CHECKPOINT_JITTER_MS = 600_000;
+/** Random wait when retention is about to expire the last checkpoint. */
+const URGENT_JITTER_MS = 30_000;
+/** Time for peers to answer, and for their own bridge to appear, before this node writes one. */
+const BRIDGE_WAIT_MS = 10_000;
+const BRIDGE_JITTER_MS = 20_000;
+/** A node without any version leaves the bridge to those that have one. */
+const EMPTY_BRIDGE_WAIT_MS = 60_000;
+
+/** Appends a checkpoint or a bridge when its time has come. */
+export function writeCheckpoint(state: NodeState, stamp: EventStamp): Step {
+    const { bootstrap } = state.logReader;
+    if (bootstrap !== undefined) {
+        return bridge(state, stamp, bootstrap.replay === undefined);
+    }
+    if (isLogAway(state, stamp.now)) return step(state);
+    const { control } = state;
+    const isAhead = numberOf(control) > numberOf(replayedOf(control));
+    if (isAhead || state.logReader.bridgeAt !== undefined) return bridge(state, stamp, isAhead);
+    return checkpoint(state, stamp);
+}
+
+function bridge(state: NodeState, stamp: EventStamp, isDue: boolean): Step {
+    const { bridgeAt, bootstrap } = state.logReader;
+    if (!isDue) return step(bridgeAt === undefined ? state : withReader(state, { bridgeAt: undefined }));
+    if (bridgeAt === undefined) {
+        const wait = state.control.config === undefined ? EMPTY_BRIDGE_WAIT_MS : BRIDGE_WAIT_MS;
+        return step(withReader(state, { bridgeAt: stamp.now + wait + stamp.rand * BRIDGE_JITTER_MS }));
+    }
+    if (bridgeAt > stamp.now) return step(state);
+    const id = `bridge:${state.self.id}:${Math.floor(stamp.now)}`;
+    return append(withReader(state, { bridgeAt: undefined }), createBridge(state.control, id, bootstrap));
+}
+
+function checkpoint(state: NodeState, stamp: EventStamp): Step {
+    const { first, checkpointAt, checkpointSeen } = state.logReader;
+    const { offset, checkpointAsOf } = state.control;
+    if (offset < 0) return step(state);
+    const isUrgent = first > 0 && checkpointAsOf + 1 - first < (offset + 1 - first) / 2;
+    if (checkpointAt === undefined || checkpointSeen !== checkpointAsOf) {
+        const at = stamp.now + CHECKPOINT_PERIOD_MS + stamp.rand * CHECKPOINT_JITTER_MS;
+        return step(withReader(state, { checkpointAt: at, checkpointSeen: checkpointAsOf }));
+    }
+    if (isUrgent && checkpointAt > stamp.now + URGENT_JITTER_MS) {
+        return step(withReader(state, { checkpointAt: stamp.now + stamp.rand * URGENT_JITTER_MS }));
+    }
+    if (checkpointAt > stamp.now) return step(state);
+    const id = `checkpoint:${state.self.id}:${Math.floor(stamp.now)}`;
+    return append(withReader(state, { checkpointAt: undefined }), createCheckpoint(state.control, id));
+}
--- a/src/controlLog.ts
+++ b/src/controlLog.ts
@@ -1,25 +1,40 @@
 /**
  * Replay of the control log. Every node that has read the same prefix has the same configuration and views:
- * the order of the log decides every race.
+ * the order of the log decides every race. What peers pass on is kept apart from what was replayed, so that it
+ * neither decides on later records nor hides any.
  */
 import { Map } from "immutable";
 import type { CheckpointRecord, ConfigRecord, LogRecord, ViewRecord } from "./logRecords.ts";
 import { NO_BASE } from "./logRecords.ts";
-import type { ConfigVersion, View } from "./types.ts";
+import type { Configuration, ConfigVersion, View } from "./types.ts";
 
-export interface ControlState {
-    /** Offset of the last record applied, -1 before the first. */
-    readonly offset: number;
+/** Ids of accepted records kept to tell a second copy of one from a lost race. */
+const ACCEPTED_IDS_LIMIT = 256;
+
+export interface Replica {
     readonly config?: ConfigVersion | undefined;
     readonly views: Map<string, View>;
+}
+
+/** `config` and `views` are in force: the highest of those replayed and those passed on by peers. */
+export interface ControlState extends Replica {
+    /** Offset of the last record applied, -1 before the first. */
+    readonly offset: number;
     /** `asOf` of the newest checkpoint seen, -1 for none. */
     readonly checkpointAsOf: number;
+    /** What the log alone says; undefined while it equals what is in force. */
+    readonly replayed?: Replica | undefined;
+    readonly acceptedIds?: readonly string[] | undefined;
 }
 
 export function createControlState(): ControlState {
     return { offset: -1, views: Map(), checkpointAsOf: -1 };
 }
 
+export function replayedOf(state: ControlState): Replica {
+    return state.replayed ?? state;
+}
+
 /** Why a record has no effect. */
 export type RecordVerdict = "accepted" | "superseded" | "duplicate" | "unbacked" | "checkpoint";
 
@@ -28,39 +43,77 @@
     readonly verdict: RecordVerdict;
 }
 
+interface Change {
+    readonly replica: Replica;
+    readonly verdict: RecordVerdict;
+}
+
 /** Applies the record at `offset`. A record that has no effect still advances the offset. */
 export function replayRecord(state: ControlState, offset: number, record: LogRecord): Replayed {
-    const advanced = { ...state, offset };
+    const before = replayedOf(state);
+    const isCopy = state.acceptedIds?.includes(record.id) ?? false;
+    const { replica, verdict } = isCopy
+        ? { replica: before, verdict: "duplicate" as const }
+        : change(before, offset, record);
+    const advanced: ControlState = {
+        ...state,
+        offset,
+        acceptedIds: verdict === "accepted"
+            ? [...state.acceptedIds ?? [], record.id].slice(-ACCEPTED_IDS_LIMIT)
+            : state.acceptedIds,
+        checkpointAsOf: record.type === "checkpoint"
+            ? Math.max(state.checkpointAsOf, record.asOf)
+            : state.checkpointAsOf,
+    };
+    return { state: replica === before ? advanced : putInForce(advanced, replica), verdict };
+}
+
+function change(replica: Replica, offset: number, record: LogRecord): Change {
     switch (record.type) {
         case "config":
-            return replayConfig(advanced, record);
+            return replayConfig(replica, offset, record);
         case "view":
-            return replayView(advanced, offset, record);
+            return replayView(replica, offset, record);
         case "checkpoint":
-            return {
-                state: { ...advanced, checkpointAsOf: Math.max(state.checkpointAsOf, record.asOf) },
-                verdict: "checkpoint",
-            };
+            return record.bridge ? replayBridge(replica, offset, record) : { replica, verdict: "checkpoint" };
     }
 }
 
-function replayConfig(state: ControlState, record: ConfigRecord): Replayed {
-    const current = state.config;
-    if (current?.id === record.id) return { state, verdict: "duplicate" };
-    if (record.base !== (current?.id ?? NO_BASE)) return { state, verdict: "superseded" };
+function replayConfig(replica: Replica, offset: number, record: ConfigRecord): Change {
+    const current = replica.config;
+    if (current?.id === record.id) return { replica, verdict: "duplicate" };
+    if (record.base !== (current?.id ?? NO_BASE)) return { replica, verdict: "superseded" };
     const config: ConfigVersion = {
         id: record.id,
         number: (current?.number ?? 0) + 1,
         author: record.author,
         configuration: record.configuration,
     };
-    return { state: { ...state, config }, verdict: "accepted" };
+    const views = replaceViews(replica.views, offset, record.configuration);
+    return { replica: { config, views }, verdict: "accepted" };
+}
+
+/** Empties the views whose voters the operator declares gone, so that new instances can join. */
+function replaceViews(
+    views: Replica["views"],
+    offset: number,
+    configuration: Configuration,
+): Replica["views"] {
+    return configuration.replacedServices.reduce(
+        (all, { service, viewVersion }) =>
+            all.get(service)?.version === viewVersion
+                ? all.set(service, { version: viewVersion + 1, offset, members: [], voters: [] })
+                : all,
+        views,
+    );
 }
 
-function replayView(state: ControlState, offset: number, record: ViewRecord): Replayed {
-    const current = state.views.get(record.service);
-    if (record.baseVersion !== (current?.version ?? 0)) return { state, verdict: "superseded" };
-    if (current !== undefined && !hasMajority(current, record.backers)) return { state, verdict: "unbacked" };
+function replayView(replica: Replica, offset: number, record: ViewRecord): Change {
+    const current = replica.views.get(record.service);
+    if (record.baseVersion !== (current?.version ?? 0)) return { replica, verdict: "superseded" };
+    if (current !== undefined && !hasMajority(current, record.backers)) {
+        return { replica, verdict: "unbacked" };
+    }
     const changed = new Set(record.members.map(member => member.id));
     const kept = (current?.members ?? []).filter(member => !changed.has(member.id));
     const view: View = {
@@ -69,15 +122,66 @@
         members: record.change === "join" ? [...kept, ...record.members] : kept,
         voters: record.voters,
     };
-    return { state: { ...state, views: state.views.set(record.service, view) }, verdict: "accepted" };
+    return {
+        replica: { ...replica, views: replica.views.set(record.service, view) },
+        verdict: "accepted",
+    };
 }
 
-/** Whether the backers hold more than half of the votes of a view. */
+/** A bridge with a lower version has no effect; its reader writes one of its own. */
+function replayBridge(replica: Replica, offset: number, record: CheckpointRecord): Change {
+    if (numberOf(record) < numberOf(replica)) return { replica, verdict: "superseded" };
+    // Equal versions are taken too, so that the offset of a view is the same for readers that start here.
+    const views = Map(Object.entries(record.views)).map(view => ({ ...view, offset }));
+    return {
+        replica: { config: record.config, views: newerViews(views, replica.views) },
+        verdict: "accepted",
+    };
+}
+
+/** Whether the backers hold more than half of the votes of a view; one without voters needs none. */
 export function hasMajority(view: View, backers: readonly string[]): boolean {
+    if (view.voters.length === 0) return true;
     const votes = view.voters.filter(voter => backers.includes(voter.id)).length;
     return votes * 2 > view.voters.length;
 }
 
+export function numberOf(replica: { readonly config?: ConfigVersion | undefined; }): number {
+    return replica.config?.number ?? 0;
+}
+
+/** Takes what the log says; what peers have passed on stays in force where it is newer. */
+export function putInForce(state: ControlState, replica: Replica): ControlState {
+    const { config, views } = newerOf(state, replica);
+    const isEqual = config === replica.config && views.equals(replica.views);
+    return isEqual
+        ? { ...state, config: replica.config, views: replica.views, replayed: undefined }
+        : { ...state, config, views, replayed: replica };
+}
+
+/** Puts the newer parts of a peer's state in force and leaves what was replayed as it is. */
+export function hearReplica(state: ControlState, heard: Replica): ControlState {
+    const { config, views } = newerOf(heard, state);
+    if (config === state.config && views === state.views) return state;
+    return { ...state, config, views, replayed: replayedOf(state) };
+}
+
+/** The higher version of each part; `preferred` decides between equal numbers. */
+function newerOf(other: Replica, preferred: Replica): Replica {
+    return {
+        config: numberOf(other) > numberOf(preferred) ? other.config : preferred.config,
+        views: newerViews(preferred.views, other.views),
+    };
+}
+
+function newerViews(preferred: Replica["views"], other: Replica["views"]): Replica["views"] {
+    return preferred.withMutations(views => {
+        for (const [service, view] of other) {
+            if (view.version > (views.get(service)?.version ?? 0)) views.set(service, view);
+        }
+    });
+}
+
 /** The state that a checkpoint carries, as of its offset. */
 export function stateOfCheckpoint(checkpoint: CheckpointRecord): ControlState {
     return {
--- a/src/initialState.ts
+++ b/src/initialState.ts
@@ -11,6 +11,7 @@
 import { createRoutingState } from "./routing.ts";
 import { createRunsState } from "./runs.ts";
 import type { NodeState } from "./state.ts";
+import { createStateFetchState } from "./stateFetch.ts";
 import type { Address, Member } from "./types.ts";
 
 export interface NodeOptions {
@@ -25,6 +26,7 @@
         draining: false,
         control: createControlState(),
         logReader: createLogReaderState(),
+        stateFetch: createStateFetchState(),
         members: createMembershipState(),
         ownership: createOwnershipState(),
         records: createRecordsState(),
--- a/src/logReader.ts
+++ b/src/logReader.ts
@@ -1,6 +1,8 @@
 /** Keeps one long poll on the control log open, replays what it brings, and sees appends through lost answers. */
 import type { Map } from "immutable";
-import { replayRecord } from "./controlLog.ts";
+import type { Bootstrap } from "./checkpoints.ts";
+import { createBootstrap, feedBootstrap } from "./checkpoints.ts";
+import { putInForce, replayedOf, replayRecord } from "./controlLog.ts";
 import type { EventOf, EventStamp } from "./events.ts";
 import type { LogRecord } from "./logRecords.ts";
 import { learnViews } from "./membership.ts";
@@ -9,51 +11,87 @@
 import { emptyMap } from "./util.ts";
 
 export const POLL_WAIT_MS = 2_000;
+/** A failed read is repeated after this time and a random one, so that 950 readers do not return together. */
 const RETRY_MS = 500;
+const RETRY_JITTER_MS = 1_000;
+const APPEND_RETRY_MS = 1_000;
+/** Bound on appends whose fate is open; during an outage newer proposals replace the oldest. */
+const PENDING_LIMIT = 16;
+/** Without a read to the tail for this long the log counts as away. */
+const AWAY_AFTER_MS = 5_000;
+
+export interface PendingAppend {
+    readonly record: LogRecord;
+    /** When to append again; undefined while an append is open. */
+    readonly retryAt?: number | undefined;
+}
 
 export interface LogReaderState {
     readonly reading: boolean;
     readonly retryAt?: number | undefined;
+    /** Offset of the read that is open or was last sent. */
+    readonly from?: number | undefined;
     /** When the last read that reached the tail was sent. */
     readonly tailAskedAt?: number | undefined;
+    /** First offset that the log kept at the last read. */
+    readonly first: number;
+    /** Present until the log has been read to its tail, and again after a gap. */
+    readonly bootstrap?: Bootstrap | undefined;
+    /** When to write a checkpoint, and when to bridge, unless another node has by then. */
+    readonly checkpointAt?: number | undefined;
+    readonly bridgeAt?: number | undefined;
+    /** `asOf` of the newest checkpoint when `checkpointAt` was chosen. */
+    readonly checkpointSeen?: number | undefined;
     /** Appends whose fate is not yet seen in the log. */
-    readonly pending: Map<string, LogRecord>;
+    readonly pending: Map<string, PendingAppend>;
 }
 
 export function createLogReaderState(): LogReaderState {
-    return { reading: false, pending: emptyMap() };
+    return { reading: false, first: 0, bootstrap: createBootstrap(), pending: emptyMap() };
 }
 
-/** Starts the next read when none is open and no pause after a failure is running. */
+export function isLogAway(state: NodeState, now: number): boolean {
+    const { tailAskedAt } = state.logReader;
+    return tailAskedAt === undefined || now - tailAskedAt > AWAY_AFTER_MS;
+}
+
+/** Starts the next read when none is open and no pause after a failure is running; repeats failed appends. */
 export function readOn(state: NodeState, stamp: EventStamp): Step {
-    const { reading, retryAt } = state.logReader;
-    if (reading || (retryAt !== undefined && retryAt > stamp.now)) return step(state);
-    return step(
-        { ...state, logReader: { ...state.logReader, reading: true, retryAt: undefined } },
-        { type: "read_log", from: state.control.offset + 1, waitMs: POLL_WAIT_MS },
-    );
+    return andThen(appendAgain(state, stamp), next => {
+        const { reading, retryAt, bootstrap } = next.logReader;
+        if (reading) return step(next);
+        if (retryAt !== undefined && retryAt > stamp.now) return step(next, { type: "wake_at", at: retryAt });
+        const from = bootstrap?.next ?? next.control.offset + 1;
+        return step(
+            withReader(next, { reading: true, retryAt: undefined, from }),
+            { type: "read_log", from, waitMs: POLL_WAIT_MS },
+        );
+    });
 }
 
 export function onLogRead(state: NodeState, event: EventOf<"log_read">): Step {
+    const read = withReader(state, { reading: false, first: event.first });
+    const replayed = read.logReader.bootstrap === undefined ? replay(read, event) : feed(read, event);
+    return andThen(replayed, next => readOn(event.atTail ? reachTail(next, event) : next, event));
+}
+
+function replay(state: NodeState, event: EventOf<"log_read">): Step {
     let result = step(state);
     for (const { offset, record } of event.records) {
         if (offset <= result.state.control.offset) continue;
         result = andThen(result, next => applyRecord(next, offset, record));
     }
-    if (event.atTail) result = { ...result, state: learnViews(result.state, event.now) };
-    const tailAskedAt = event.atTail ? event.askedAt : result.state.logReader.tailAskedAt;
-    const read = { ...result.state, logReader: { ...result.state.logReader, reading: false, tailAskedAt } };
-    const proven = event.atTail
-        ? { ...read, ownership: { ...read.ownership, provenAt: event.askedAt } }
-        : read;
-    return andThen({ state: proven, effects: result.effects }, next => readOn(next, event));
+    const { control } = result.state;
+    // Records that could not be parsed are left out of the batch and count as read.
+    const offset = event.records.length > 0 ? Math.max(control.offset, event.next - 1) : control.offset;
+    return { ...result, state: { ...result.state, control: { ...control, offset } } };
 }
 
 function applyRecord(state: NodeState, offset: number, record: LogRecord): Step {
     const { state: control, verdict } = replayRecord(state.control, offset, record);
     const pending = state.logReader.pending.delete(record.id);
     return step(
-        { ...state, control, logReader: { ...state.logReader, pending } },
+        withReader({ ...state, control }, { pending }),
         {
             type: "count",
             counter: record.type === "view" ? "view_changes" : "config_records",
@@ -63,29 +101,77 @@
     );
 }
 
+/** Reads towards the tail apart from the state in force, which must not show the versions in between. */
+function feed(state: NodeState, event: EventOf<"log_read">): Step {
+    const bootstrap = feedBootstrap(state.logReader.bootstrap!, event);
+    const pending = state.logReader.pending.deleteAll(event.records.map(({ record }) => record.id));
+    return step(withReader(state, { bootstrap, pending }));
+}
+
+function reachTail(state: NodeState, event: EventOf<"log_read">): NodeState {
+    const installed = installReplay(state);
+    if (installed.logReader.bootstrap !== undefined) return installed;
+    const proven = withReader(installed, { tailAskedAt: event.askedAt });
+    return learnViews({ ...proven, ownership: { ...proven.ownership, provenAt: event.askedAt } }, event.now);
+}
+
+/** Puts a replay that has reached the tail in force. */
+function installReplay(state: NodeState): NodeState {
+    const replay = state.logReader.bootstrap?.replay;
+    if (replay === undefined) return state;
+    const before = { ...state.control, ...replay, config: state.control.config, views: state.control.views };
+    const control = putInForce(before, replayedOf(replay));
+    return withReader({ ...state, control }, {
+        bootstrap: undefined,
+        checkpointAt: undefined,
+        bridgeAt: undefined,
+    });
+}
+
+/** The records that follow the last one read have expired. */
 export function onLogGone(state: NodeState, event: EventOf<"log_gone">): Step {
-    const control = { ...state.control, offset: Math.max(state.control.offset, event.first - 1) };
-    const next = { ...state, control, logReader: { ...state.logReader, reading: false } };
+    const next = withReader(state, {
+        reading: false,
+        first: event.first,
+        bootstrap: createBootstrap(event.first),
+        bridgeAt: undefined,
+    });
     return readOn(next, event);
 }
 
 export function onLogFailed(state: NodeState, event: EventOf<"log_failed">): Step {
-    const retryAt = event.now + RETRY_MS;
-    return step(
-        { ...state, logReader: { ...state.logReader, reading: false, retryAt } },
-        { type: "wake_at", at: retryAt },
-    );
+    const retryAt = event.now + RETRY_MS + event.rand * RETRY_JITTER_MS;
+    return step(withReader(state, { reading: false, retryAt }), { type: "wake_at", at: retryAt });
 }
 
 /** Appends a record and keeps it until the log shows it. */
 export function append(state: NodeState, record: LogRecord): Step {
-    const pending = state.logReader.pending.set(record.id, record);
-    return step({ ...state, logReader: { ...state.logReader, pending } }, { type: "append", record });
+    const { pending } = state.logReader;
+    const kept = pending.size >= PENDING_LIMIT ? pending.delete(pending.keySeq().first()!) : pending;
+    return step(withReader(state, { pending: kept.set(record.id, { record }) }), { type: "append", record });
 }
 
 /** An append without an answer may have taken effect, so the same record, with the same id, is sent again. */
 export function onAppendEnded(state: NodeState, event: EventOf<"append_ended">): Step {
-    const record = state.logReader.pending.get(event.id);
-    if (event.offset !== undefined || record === undefined) return step(state);
-    return step(state, { type: "append", record });
+    const entry = state.logReader.pending.get(event.id);
+    if (event.offset !== undefined || entry === undefined) return step(state);
+    const retryAt = event.now + APPEND_RETRY_MS;
+    const pending = state.logReader.pending.set(event.id, { ...entry, retryAt });
+    return step(withReader(state, { pending }), { type: "wake_at", at: retryAt });
+}
+
+function appendAgain(state: NodeState, stamp: EventStamp): Step {
+    const due = state.logReader.pending.filter(({ retryAt }) =>
+        retryAt !== undefined && retryAt <= stamp.now
+    );
+    if (due.isEmpty()) return step(state);
+    const pending = state.logReader.pending.merge(due.map(({ record }) => ({ record })));
+    return step(
+        withReader(state, { pending }),
+        ...due.valueSeq().map(({ record }) => ({ type: "append" as const, record })),
+    );
+}
+
+export function withReader(state: NodeState, changes: Partial<LogReaderState>): NodeState {
+    return { ...state, logReader: { ...state.logReader, ...changes } };
 }
--- a/src/peerMessages.ts
+++ b/src/peerMessages.ts
@@ -53,7 +53,7 @@
         /** A hash a bucket of the ids that the sender holds alive; the answer lists the buckets that differ. */
         readonly digests?: readonly string[] | undefined;
     }
-    | { readonly type: "control.state"; }
+    | { readonly type: "control.state"; readonly configOnly?: boolean | undefined; }
     | {
         readonly type: "view.back";
         readonly service: string;
@@ -92,6 +92,8 @@
         readonly offset: number;
         readonly config?: ConfigVersion | undefined;
         readonly views: Readonly<Record<string, View>>;
+        /** Whether this is what the log says as of `offset`, with nothing passed on by peers. */
+        readonly isReplayed?: boolean | undefined;
     }
     /** Ids in whose name the node backs the change: its own and its predecessor's at the same address. */
     | { readonly type: "view.back"; readonly backers: readonly string[]; }
--- a/src/reducer.ts
+++ b/src/reducer.ts
@@ -1,5 +1,6 @@
 /** The behaviour of a node: one pure function from a state and an event to the next state and effects. */
 import { expireCalls, onAttemptAnswered, onAttemptClosed, onCallCancelled, onCallStarted } from "./calls.ts";
+import { writeCheckpoint } from "./checkpointWriter.ts";
 import type { EventOf, NodeEvent } from "./events.ts";
 import { onAppendEnded, onLogFailed, onLogGone, onLogRead, readOn } from "./logReader.ts";
 import { answerSync, onSynced } from "./memberSync.ts";
@@ -8,6 +9,7 @@
 import { expireRuns, onRunAnswered, onRunCancelled, onRunEnded, onRunStarted } from "./runs.ts";
 import type { NodeState, Step } from "./state.ts";
 import { andThen, step } from "./state.ts";
+import { answerState, fetchForGap, onPeerSummary, onStateFetched } from "./stateFetch.ts";
 import { onDatagram, onMembershipWake } from "./swim.ts";
 import { assertNever } from "./types.ts";
 
@@ -44,11 +46,11 @@
         case "append_ended":
             return onAppendEnded(state, event);
         case "datagram_received":
-            return onDatagram(state, event);
+            return andThen(onDatagram(state, event), next => onPeerSummary(next, event));
         case "rpc_received":
             return onRpcReceived(state, event);
         case "rpc_ended":
-            return andThen(onBacked(state, event), next => onSynced(next, event));
+            return onRpcEnded(state, event);
         case "wake":
             return onWake(state, event);
         default:
@@ -71,9 +73,17 @@
     result = andThen(result, next => expireRuns(next, event));
     result = andThen(result, next => proposeJoin(next, event));
     result = andThen(result, next => onMembershipWake(next, event));
+    result = andThen(result, next => writeCheckpoint(next, event));
+    result = andThen(result, next => fetchForGap(next, event));
     return andThen(result, next => readOn(next, event));
 }
 
+function onRpcEnded(state: NodeState, event: EventOf<"rpc_ended">): Step {
+    let result = onBacked(state, event);
+    result = andThen(result, next => onSynced(next, event));
+    return andThen(result, next => onStateFetched(next, event));
+}
+
 function exitWhenDrained(state: NodeState): Step {
     const idle = state.runs.runs.isEmpty() && state.calls.calls.isEmpty();
     return state.draining && idle ? step(state, { type: "exit" }) : step(state);
@@ -93,12 +103,7 @@
 ): PeerResponse {
     switch (request.type) {
         case "control.state":
-            return {
-                type: "control.state",
-                offset: state.control.offset,
-                config: state.control.config,
-                views: state.control.views.toObject(),
-            };
+            return answerState(state, request);
         case "view.back":
             return { type: "view.back", backers: [state.self.id] };
         case "view.promise":
--- a/src/schemas.ts
+++ b/src/schemas.ts
@@ -137,7 +137,7 @@
 
 export const peerRequestSchema = v.variant("type", [
     v.strictObject({ type: v.literal("swim.sync"), sender: memberSchema, updates, digests }),
-    v.strictObject({ type: v.literal("control.state") }),
+    v.strictObject({ type: v.literal("control.state"), configOnly: v.optional(v.boolean()) }),
     v.strictObject({
         type: v.literal("view.back"),
         service: text,
@@ -176,6 +176,7 @@
         offset: v.pipe(v.number(), v.integer(), v.minValue(-1)),
         config: v.optional(configVersionSchema),
         views: v.record(text, viewSchema),
+        isReplayed: v.optional(v.boolean()),
     }),
     v.strictObject({ type: v.literal("view.back"), backers: v.array(text) }),
     v.strictObject({ type: v.literal("view.promise"), voter: v.optional(text) }),
--- a/src/state.ts
+++ b/src/state.ts
@@ -11,6 +11,7 @@
 import type { BudgetsState } from "./retries.ts";
 import type { RoutingState } from "./routing.ts";
 import type { RunsState } from "./runs.ts";
+import type { StateFetchState } from "./stateFetch.ts";
 import type { Address, Kind, Member, Service } from "./types.ts";
 
 /** The target beside this node. */
@@ -28,6 +29,7 @@
     readonly draining: boolean;
     readonly control: ControlState;
     readonly logReader: LogReaderState;
+    readonly stateFetch: StateFetchState;
     readonly members: MembershipState;
     readonly ownership: OwnershipState;
     readonly records: RecordsState;
--- /dev/null
+++ b/src/stateFetch.ts
@@ -0,0 +1,119 @@
+/**
+ * Versions passed on by peers: the summary on each probe shows who is ahead, and a node that is behind fetches
+ * the sender's state. What is fetched is put in force, but is no read of the log: the node still replays every
+ * record, and a fetch renews no proof. Only a gap in the log lets a node start from a peer's replayed state.
+ */
+import { Map } from "immutable";
+import { startFrom } from "./checkpoints.ts";
+import { createControlState, hearReplica, numberOf } from "./controlLog.ts";
+import type { EventOf, EventStamp } from "./events.ts";
+import { isLogAway, withReader } from "./logReader.ts";
+import { learnViews } from "./membership.ts";
+import type { PeerRequest, PeerResponse } from "./peerMessages.ts";
+import { pickOne } from "./random.ts";
+import type { NodeState, Step } from "./state.ts";
+import { step } from "./state.ts";
+import type { Address } from "./types.ts";
+
+const FETCH_TIMEOUT_MS = 2_000;
+const FETCH_PERIOD_MS = 1_000;
+/** Views may be large, and matter less than the configuration while the log is away. */
+const VIEWS_PERIOD_MS = 10_000;
+/** A node that reads the log lags behind another by a long poll at most; only then does it ask. */
+const LAG_MS = 3_000;
+const TOKEN = "state:";
+
+type StateRequest = Extract<PeerRequest, { readonly type: "control.state"; }>;
+type StateResponse = Extract<PeerResponse, { readonly type: "control.state"; }>;
+
+export interface StateFetchState {
+    readonly fetchAt: number;
+    readonly viewsAt: number;
+    /** Since when a peer has been known to have a higher version. */
+    readonly behindSince?: number | undefined;
+}
+
+export function createStateFetchState(): StateFetchState {
+    return { fetchAt: 0, viewsAt: 0 };
+}
+
+export function onPeerSummary(state: NodeState, event: EventOf<"datagram_received">): Step {
+    const { now, datagram: { sender, summary } } = event;
+    const isAway = isLogAway(state, now);
+    if (summary.configNumber > numberOf(state.control)) {
+        const behindSince = state.stateFetch.behindSince ?? now;
+        const marked = withFetch(state, { behindSince });
+        const isDue = isAway || now - behindSince >= LAG_MS;
+        return isDue ? fetchState(marked, sender.address, event, !isAway) : step(marked);
+    }
+    const hasNews = isAway && summary.logOffset > state.control.offset && now >= state.stateFetch.viewsAt;
+    if (hasNews) return fetchState(state, sender.address, event, false);
+    return step(state);
+}
+
+function fetchState(state: NodeState, to: Address, stamp: EventStamp, configOnly: boolean): Step {
+    if (stamp.now < state.stateFetch.fetchAt) return step(state);
+    return step(
+        withFetch(state, {
+            fetchAt: stamp.now + FETCH_PERIOD_MS,
+            viewsAt: configOnly ? state.stateFetch.viewsAt : stamp.now + VIEWS_PERIOD_MS,
+        }),
+        {
+            type: "send_rpc",
+            token: TOKEN,
+            to,
+            request: { type: "control.state", ...(configOnly ? { configOnly } : {}) },
+            timeoutMs: FETCH_TIMEOUT_MS,
+        },
+    );
+}
+
+/** A reader that finds no state in the log to start from asks a random peer on each wake. */
+export function fetchForGap(state: NodeState, stamp: EventStamp): Step {
+    const { bootstrap } = state.logReader;
+    if (bootstrap === undefined || bootstrap.replay !== undefined) return step(state);
+    const peers = state.members.entries.valueSeq().filter(({ status }) => status !== "dead").toArray();
+    const peer = pickOne(peers, stamp.rand);
+    const to = peer?.member.address ?? pickOne(state.joinAddresses, stamp.rand);
+    return to === undefined ? step(state) : fetchState(state, to, stamp, false);
+}
+
+export function answerState(state: NodeState, request: StateRequest): StateResponse {
+    const { offset, config, views, replayed } = state.control;
+    const isReplayed = replayed === undefined && state.logReader.bootstrap === undefined;
+    return {
+        type: "control.state",
+        offset,
+        config,
+        views: request.configOnly === true ? {} : views.toObject(),
+        ...(isReplayed && request.configOnly !== true ? { isReplayed } : {}),
+    };
+}
+
+export function onStateFetched(state: NodeState, event: EventOf<"rpc_ended">): Step {
+    const { response, token, now } = event;
+    if (response?.type !== "control.state" || token !== TOKEN) return step(state);
+    const heard = { config: response.config, views: Map(response.views) };
+    const isAway = isLogAway(state, now);
+    const views = isAway ? heard.views : Map<string, never>();
+    const control = hearReplica(state.control, { config: heard.config, views });
+    const next = withFetch({ ...state, control }, { behindSince: undefined });
+    return step(learnViews(crossGap(next, response), now));
+}
+
+function crossGap(state: NodeState, response: StateResponse): NodeState {
+    const { bootstrap } = state.logReader;
+    if (bootstrap === undefined || response.isReplayed !== true) return state;
+    if (numberOf(response) < numberOf(state.control)) return state;
+    const peer = {
+        ...createControlState(),
+        offset: response.offset,
+        config: response.config,
+        views: Map(response.views),
+    };
+    return withReader(state, { bootstrap: startFrom(bootstrap, peer) });
+}
+
+function withFetch(state: NodeState, changes: Partial<StateFetchState>): NodeState {
+    return { ...state, stateFetch: { ...state.stateFetch, ...changes } };
+}
--- /dev/null
+++ b/test/configuration.test.ts
@@ -0,0 +1,42 @@
+/** Time until a configuration is in force on the last node, in virtual time; the bound is the stated 13 s. */
+import { expect } from "chai";
+import type { World } from "./fakes/world.ts";
+import { createCluster } from "./support/clusters.ts";
+import { applyConfig, createConfigRecord, numberAt } from "./support/versions.ts";
+
+const BOUND_MS = 13_000;
+const STEP_MS = 100;
+
+/** Virtual time until all nodes have version 2. */
+function timeInForce(world: World): number {
+    const start = world.now;
+    while (world.nodes.some(node => numberAt(node) < 2) && world.now - start < 2 * BOUND_MS) {
+        world.run(STEP_MS);
+    }
+    return world.now - start;
+}
+
+async function createWorld(size: number): Promise<World> {
+    const world = createCluster({ size, acquainted: true });
+    await applyConfig(world, "v1");
+    world.run(5_000);
+    return world;
+}
+
+describe("configuration in force", () => {
+    for (const size of [20, 100, 300, 950]) {
+        it(`reaches ${size} nodes by the log`, async () => {
+            const world = await createWorld(size);
+            world.appendToLog(createConfigRecord("v2", "v1"));
+            expect(timeInForce(world)).to.be.below(BOUND_MS);
+        });
+
+        it(`reaches ${size} nodes by gossip with the log away for all but one`, async () => {
+            const world = await createWorld(size);
+            world.setLinks(false, world.nodes.slice(1), ["log"]);
+            world.run(8_000);
+            world.appendToLog(createConfigRecord("v2", "v1"));
+            expect(timeInForce(world)).to.be.below(BOUND_MS);
+        });
+    }
+});
--- a/test/controlLog.test.ts
+++ b/test/controlLog.test.ts
@@ -1,26 +1,146 @@
-/** Replay of the control log: two operators who race must end with one winner on every node. */
+/** Replay of the control log: readers of the same records must end with the same state, wherever they start. */
 import { expect } from "chai";
-import { createControlState, replayRecord } from "../src/controlLog.ts";
-import type { ConfigRecord } from "../src/logRecords.ts";
-import { NO_BASE } from "../src/logRecords.ts";
+import {
+    bootstrap,
+    createBootstrap,
+    createBridge,
+    createCheckpoint,
+    feedBootstrap,
+} from "../src/checkpoints.ts";
+import type { ControlState } from "../src/controlLog.ts";
+import { createControlState, hearReplica, replayRecord } from "../src/controlLog.ts";
+import type { LogRecord, ViewRecord } from "../src/logRecords.ts";
+import type { Member } from "../src/types.ts";
+import { createConfigRecord } from "./support/versions.ts";
 
-function createConfigRecord(id: string, base = NO_BASE): ConfigRecord {
-    const configuration = { kinds: [], services: [], resendHorizonMs: 1_000, replacedServices: [] };
-    return { type: "config", id, base, author: "test", configuration };
+function createMember(id: string): Member {
+    return { id, service: "index", address: { host: "10.0.0.1", port: 7_000 }, dataCentre: "a" };
+}
+
+function createJoin(id: string, baseVersion: number, backers: readonly string[] = []): ViewRecord {
+    const members = [createMember(id)];
+    return {
+        type: "view",
+        id: `join ${id}`,
+        service: "index",
+        baseVersion,
+        change: "join",
+        members,
+        voters: members,
+        backers,
+    };
+}
+
+/** Verdicts and final state of records replayed from offset 0. */
+function replayAll(records: readonly LogRecord[], start: ControlState = createControlState()) {
+    let state = start;
+    const verdicts = records.map(record => {
+        const replayed = replayRecord(state, state.offset + 1, record);
+        state = replayed.state;
+        return replayed.verdict;
+    });
+    return { state, verdicts };
 }
 
 describe("control log", () => {
     it("accepts the first of two configurations with the same base", () => {
-        const first = replayRecord(createControlState(), 0, createConfigRecord("a"));
-        const second = replayRecord(first.state, 1, createConfigRecord("b"));
-        expect([first.verdict, second.verdict]).to.deep.equal(["accepted", "superseded"]);
-        expect(second.state.config?.id).to.equal("a");
+        const { state, verdicts } = replayAll([createConfigRecord("a"), createConfigRecord("b")]);
+        expect(verdicts).to.deep.equal(["accepted", "superseded"]);
+        expect(state.config?.id).to.equal("a");
     });
 
     it("gives a record that was appended twice after a lost answer no second effect", () => {
-        const first = replayRecord(createControlState(), 0, createConfigRecord("a"));
-        const again = replayRecord(first.state, 1, createConfigRecord("a"));
-        expect(again.verdict).to.equal("duplicate");
-        expect(again.state.config?.number).to.equal(1);
+        const { state, verdicts } = replayAll([createConfigRecord("a"), createConfigRecord("a")]);
+        expect(verdicts).to.deep.equal(["accepted", "duplicate"]);
+        expect(state.config?.number).to.equal(1);
+    });
+
+    it("gives a copy that comes after other versions no effect and calls it a duplicate", () => {
+        const b = createConfigRecord("b", "a");
+        const { state, verdicts } = replayAll([createConfigRecord("a"), b, createConfigRecord("c", "b"), b]);
+        expect(verdicts).to.deep.equal(["accepted", "accepted", "accepted", "duplicate"]);
+        expect(state.config).to.include({ id: "c", number: 3 });
+    });
+
+    it("gives a view change without a majority, or on an old version, no effect", () => {
+        const { state, verdicts } = replayAll([
+            createJoin("x", 0),
+            createJoin("y", 1),
+            createJoin("z", 0),
+            createJoin("y", 1, ["x"]),
+        ]);
+        expect(verdicts).to.deep.equal(["accepted", "unbacked", "superseded", "accepted"]);
+        expect(state.views.get("index")).to.include({ version: 2, offset: 3 });
+    });
+
+    it("empties a view that an operator declares replaced, only at the version named", () => {
+        const replaced = (viewVersion: number) => [{ service: "index", viewVersion }];
+        const { state, verdicts } = replayAll([
+            createJoin("x", 0),
+            createConfigRecord("a", undefined, replaced(2)),
+            createConfigRecord("b", "a", replaced(1)),
+            createJoin("y", 2),
+        ]);
+        expect(verdicts).to.deep.equal(["accepted", "accepted", "accepted", "accepted"]);
+        expect(state.views.get("index")?.members.map(member => member.id)).to.deep.equal(["y"]);
+    });
+
+    it("starts from a checkpoint and replays what lies between its state and the checkpoint", () => {
+        const early = [createConfigRecord("a"), createJoin("x", 0)];
+        const late = [createConfigRecord("b", "a"), createJoin("y", 1, ["x"])];
+        const checkpoint = createCheckpoint(replayAll(early).state, "checkpoint");
+        const records = [...early, ...late, checkpoint, createConfigRecord("c", "b")];
+        const whole = replayAll(records).state;
+        const kept = records.map((record, offset) => ({ record, offset })).slice(2);
+        const reader = feedBootstrap(createBootstrap(2), { next: 6, records: kept });
+        expect(reader.replay?.config).to.deep.equal(whole.config);
+        expect(reader.replay?.views.toJS()).to.deep.equal(whole.views.toJS());
+        expect(reader.replay?.offset).to.equal(5);
+    });
+
+    it("does not start from a checkpoint whose next record has expired", async () => {
+        const checkpoint = createCheckpoint(replayAll([createConfigRecord("a")]).state, "checkpoint");
+        const batch = { next: 4, tail: 4, records: [{ offset: 3, record: checkpoint }] };
+        const state = await bootstrap(async from =>
+            from < 2 ? { type: "gone", first: 2 } : { type: "batch", batch }
+        );
+        expect(state).to.equal(undefined);
+    });
+
+    it("never takes a bridge with a lower version than its own", () => {
+        const low = replayAll([createConfigRecord("a")]).state;
+        const high = replayAll([createConfigRecord("a"), createConfigRecord("b", "a")]).state;
+        const gap = createBootstrap(2);
+        const refused = replayRecord(high, 2, createBridge(low, "low", gap));
+        expect([refused.verdict, refused.state.config?.id]).to.deep.equal(["superseded", "b"]);
+        const taken = replayRecord(low, 2, createBridge(high, "high", gap));
+        expect([taken.verdict, taken.state.config?.id]).to.deep.equal(["accepted", "b"]);
+    });
+
+    it("gives all readers of a bridge the same views, whichever changes they had missed", () => {
+        const behind = replayAll([createJoin("x", 0)]).state;
+        const ahead = replayAll([createJoin("x", 0), createJoin("y", 1, ["x"])]).state;
+        const bridge = createBridge(behind, "bridge", createBootstrap(2));
+        const [first, second] = [behind, ahead].map(state =>
+            replayRecord(state, 2, bridge).state.views.toJS()
+        );
+        expect(first).to.deep.equal(second);
+    });
+
+    it("keeps what a peer passed on in force without skipping a record of the log", () => {
+        const records = [createConfigRecord("a"), createConfigRecord("b", "a"), createJoin("x", 0)];
+        const peer = replayAll([...records.slice(0, 2)]).state;
+        const heard = hearReplica(replayAll(records.slice(0, 1)).state, peer);
+        expect([heard.config?.number, heard.offset]).to.deep.equal([2, 0]);
+        const { state, verdicts } = replayAll(records.slice(1), heard);
+        expect(verdicts).to.deep.equal(["accepted", "accepted"]);
+        expect(state.config).to.deep.equal(replayAll(records).state.config);
+        expect(state.replayed).to.equal(undefined);
+    });
+
+    it("does not go back to an older version when a peer lags", () => {
+        const state = replayAll([createConfigRecord("a"), createConfigRecord("b", "a")]).state;
+        const lagging = replayAll([createConfigRecord("a")]).state;
+        expect(hearReplica(state, lagging)).to.equal(state);
     });
 });
--- /dev/null
+++ b/test/controlLogFaults.test.ts
@@ -0,0 +1,204 @@
+/** Configurations through faults of the log, the network and the nodes: no version may be lost or taken back. */
+import { expect } from "chai";
+import type { FakeNode } from "./fakes/fakeNode.ts";
+import type { World } from "./fakes/world.ts";
+import { addInstance, createCluster, restart } from "./support/clusters.ts";
+import { applyConfig, configIds, createConfigRecord, numberAt } from "./support/versions.ts";
+
+const SIZE = 8;
+const HOUR_MS = 3_600_000;
+
+async function createWorld(): Promise<World> {
+    const world = createCluster({ size: SIZE });
+    await applyConfig(world, "v1");
+    world.run(15_000);
+    expect(configIds(world)).to.deep.equal(["v1"]);
+    return world;
+}
+
+function isReady(node: FakeNode): boolean {
+    return node.state.control.config !== undefined;
+}
+
+/** Records how many `config` records each node accepted. */
+function countAccepted(world: World): Map<string, number> {
+    const accepted = new Map<string, number>();
+    for (const node of world.nodes) {
+        node.onEffect = effect => {
+            if (effect.type !== "log" || effect.event !== "record") return;
+            const { record, verdict } = effect.fields;
+            if (record !== "config" || verdict !== "accepted") return;
+            accepted.set(node.member.id, (accepted.get(node.member.id) ?? 0) + 1);
+        };
+    }
+    return accepted;
+}
+
+describe("control log under faults", () => {
+    it("lets one of two racing operators win on every node", async () => {
+        const world = await createWorld();
+        world.appendToLog(createConfigRecord("x", "v1"));
+        world.appendToLog(createConfigRecord("y", "v1"));
+        world.run(3_000);
+        expect(configIds(world)).to.deep.equal(["x"]);
+    });
+
+    it("appends again after a lost answer and applies the record once", async () => {
+        const world = await createWorld();
+        const accepted = countAccepted(world);
+        for (let i = 0; i < 5; i++) world.appendToLog(createConfigRecord("v2", "v1"));
+        await applyConfig(world, "v3");
+        world.appendToLog(createConfigRecord("v2", "v1"));
+        world.run(3_000);
+        expect(configIds(world)).to.deep.equal(["v3"]);
+        expect([...accepted.values()]).to.deep.equal(Array.from({ length: SIZE }, () => 2));
+    });
+
+    it("does not show versions in between while a new node reads towards the tail", async () => {
+        const world = await createWorld();
+        for (let i = 2; i <= 500; i++) world.appendToLog(createConfigRecord(`v${i}`, `v${i - 1}`));
+        world.run(5_000);
+        world.log.slowMs = 1_000;
+        const fresh = addInstance(world, 0, { joinAddresses: [] });
+        const shown = new Set<number>();
+        for (let i = 0; i < 100; i++) {
+            world.run(100);
+            shown.add(numberAt(fresh));
+        }
+        expect([...shown]).to.deep.equal([0, 500]);
+    });
+
+    it("keeps its version while the log is down for an hour and crosses the gap when it returns", async () => {
+        const world = await createWorld();
+        world.log.outage = true;
+        world.run(HOUR_MS);
+        const late = addInstance(world, 0);
+        world.run(30_000);
+        expect(configIds(world)).to.deep.equal(["v1"]);
+        // Records that no node has read make the expiry a gap; on an old base they change nothing.
+        for (let i = 0; i < 3; i++) world.appendToLog(createConfigRecord(`late${i}`));
+        world.log.outage = false;
+        world.log.expireBefore(world.log.tail);
+        world.run(120_000);
+        expect(configIds(world)).to.deep.equal(["v1"]);
+        await applyConfig(world, "v2");
+        world.run(5_000);
+        expect(configIds(world)).to.deep.equal(["v2"]);
+        expect(isReady(late)).to.equal(true);
+    });
+
+    it("takes the state of a peer that has read the expired records", async () => {
+        const world = await createWorld();
+        const behind = world.nodes.slice(0, 4);
+        world.setLinks(false, behind, ["log", ...world.nodes.slice(4)]);
+        await applyConfig(world, "v2");
+        world.run(5_000);
+        world.log.expireBefore(world.log.tail);
+        await Promise.resolve();
+        world.setLinks(true, behind, ["log", ...world.nodes.slice(4)]);
+        world.run(120_000);
+        expect(configIds(world)).to.deep.equal(["v2"]);
+        expect(world.nodes.every(node => node.state.logReader.bootstrap === undefined)).to.equal(true);
+    });
+
+    it("bridges a gap that no node has read, and lets later readers start there", async () => {
+        const world = await createWorld();
+        world.setLinks(false, world.nodes, ["log"]);
+        for (let i = 0; i < 5; i++) world.appendToLog(createConfigRecord(`late${i}`));
+        world.log.expireBefore(world.log.tail);
+        const first = world.log.first;
+        world.setLinks(true, world.nodes, ["log"]);
+        world.run(120_000);
+        const bridges = world.log.read(first).records.filter(({ record }) =>
+            record.type === "checkpoint" && record.bridge
+        );
+        expect(bridges.length).to.be.within(1, 3);
+        await applyConfig(world, "v2");
+        const fresh = addInstance(world, 0, { joinAddresses: [] });
+        world.run(5_000);
+        expect(configIds(world)).to.deep.equal(["v2"]);
+        expect(numberAt(fresh)).to.equal(2);
+    });
+
+    it("puts versions in force and lets a node start while the log answers slowly", async () => {
+        const world = await createWorld();
+        world.log.slowMs = 3_000;
+        addInstance(world, 0, { joinAddresses: [] });
+        await applyConfig(world, "v2");
+        world.run(13_000);
+        expect(configIds(world)).to.deep.equal(["v2"]);
+    });
+
+    it("writes checkpoints that let a new node start after old records have expired", async () => {
+        const world = await createWorld();
+        const before = world.log.appends;
+        world.run(HOUR_MS);
+        const written = world.log.appends - before;
+        // Of 8 nodes the first writes after 10 to 20 minutes; nearly equal waits may add a second one.
+        expect(written).to.be.within(3, 12);
+        world.log.expireBefore(world.log.tail - 1);
+        const fresh = addInstance(world, 0, { joinAddresses: [] });
+        world.run(5_000);
+        expect(numberAt(fresh)).to.equal(1);
+    });
+
+    it("passes versions on to the side of a partition that cannot read the log", async () => {
+        const world = await createWorld();
+        const cut = world.nodes.slice(0, 4);
+        world.setLinks(false, cut, ["log"]);
+        world.run(10_000);
+        await applyConfig(world, "v2");
+        world.run(13_000);
+        expect(configIds(world)).to.deep.equal(["v2"]);
+        const unread = cut.map(node => node.state.control.offset);
+        await applyConfig(world, "v3");
+        world.run(13_000);
+        expect(configIds(world)).to.deep.equal(["v3"]);
+        // What peers pass on is no read of the log.
+        expect(cut.map(node => node.state.control.offset)).to.deep.equal(unread);
+        expect(cut.every(node => world.now - (node.state.ownership.provenAt ?? 0) > 6_000)).to.equal(true);
+        world.setLinks(true, cut, ["log"]);
+        world.run(10_000);
+        expect(cut.every(node => node.state.control.replayed === undefined)).to.equal(true);
+    });
+
+    it("restores the version to every subset that restarts with the log down", async () => {
+        for (let survivor = 0; survivor < 3; survivor++) {
+            const world = await createWorld();
+            world.log.outage = true;
+            const alive = world.nodes[survivor]!;
+            const joinAddresses = [alive.member.address];
+            for (const node of [...world.nodes]) if (node !== alive) restart(world, node, { joinAddresses });
+            world.run(60_000);
+            expect(configIds(world)).to.deep.equal(["v1"]);
+        }
+    });
+
+    it("is without a configuration when all restart with the log down, until the log returns", async () => {
+        const world = await createWorld();
+        world.log.outage = true;
+        const fresh = [...world.nodes].map(node => restart(world, node));
+        world.run(60_000);
+        expect(fresh.some(isReady)).to.equal(false);
+        const refusals: string[] = [];
+        world.request(
+            fresh[0]!,
+            "book",
+            told => refusals.push(told.type === "not-run" ? told.reason : told.type),
+        );
+        world.run(2_000);
+        expect(refusals).to.deep.equal(["no-configuration"]);
+        world.log.outage = false;
+        world.run(13_000);
+        expect(configIds(world)).to.deep.equal(["v1"]);
+    });
+
+    it("does not end a lost append by sending it without pause while the log is down", async () => {
+        const world = await createWorld();
+        world.log.loseAnswers = true;
+        world.run(HOUR_MS);
+        // At worst each append is sent twice before the log shows it.
+        expect(world.log.appends).to.be.below(40);
+        expect(configIds(world)).to.deep.equal(["v1"]);
+    });
+});
--- a/test/support/clusters.ts
+++ b/test/support/clusters.ts
@@ -1,5 +1,6 @@
 /** Worlds of many nodes for the tests and programs on control traffic. */
 import { createEntry, createMembershipState, putEntry } from "../../src/membership.ts";
+import type { NodeState } from "../../src/state.ts";
 import type { FakeNode } from "../fakes/fakeNode.ts";
 import type { NodeSpec, WorldOptions } from "../fakes/world.ts";
 import { World } from "../fakes/world.ts";
@@ -22,11 +23,21 @@
 export function createCluster(opts: ClusterOptions): World {
     const world = new World({ ...opts, seed: opts.seed ?? 1 });
     world.log.outage = opts.logDown ?? false;
-    for (let i = 0; i < opts.size; i++) addInstance(world, i, opts.spec);
+    for (let i = 0; i < opts.size; i++) addInstance(world, i, { prepare: prepareView(opts), ...opts.spec });
     if (opts.acquainted ?? false) acquaint(world);
     return world;
 }
 
+/** A view of itself keeps an acquainted node from proposing a join, which at 950 nodes would take most of a test. */
+function prepareView(opts: ClusterOptions): (state: NodeState) => NodeState {
+    if (opts.acquainted !== true) return state => state;
+    return state => {
+        const view = { version: 1, offset: -1, members: [state.self], voters: [state.self] };
+        const views = state.control.views.set(state.self.service, view);
+        return { ...state, control: { ...state.control, views } };
+    };
+}
+
 function acquaint(world: World): void {
     const all = world.nodes.reduce(
         (members, { member }) => putEntry(members, createEntry(member, 0)),
--- /dev/null
+++ b/test/support/versions.ts
@@ -0,0 +1,46 @@
+/** Configurations, operators and checks of versions for the tests of the control log. */
+import { bootstrap } from "../../src/checkpoints.ts";
+import type { ControlState } from "../../src/controlLog.ts";
+import type { ConfigRecord } from "../../src/logRecords.ts";
+import { NO_BASE } from "../../src/logRecords.ts";
+import type { ReplacedService } from "../../src/types.ts";
+import type { FakeNode } from "../fakes/fakeNode.ts";
+import { createConfiguration, type World } from "../fakes/world.ts";
+
+export function createConfigRecord(
+    id: string,
+    base = NO_BASE,
+    replacedServices: readonly ReplacedService[] = [],
+): ConfigRecord {
+    return {
+        type: "config",
+        id,
+        base,
+        author: "test",
+        configuration: createConfiguration({ replacedServices }),
+    };
+}
+
+/** What a fresh reader of the whole log finds. */
+export function readWholeLog(world: World): Promise<ControlState | undefined> {
+    const { log } = world;
+    return bootstrap(async from =>
+        from < log.first
+            ? { type: "gone", first: log.first }
+            : { type: "batch", batch: log.read(from) }
+    );
+}
+
+/** Appends a configuration on the version that the log shows; does nothing when the log cannot tell one. */
+export async function applyConfig(world: World, id: string): Promise<void> {
+    const current = await readWholeLog(world);
+    if (current !== undefined) world.appendToLog(createConfigRecord(id, current.config?.id));
+}
+
+export function numberAt(node: FakeNode): number {
+    return node.state.control.config?.number ?? 0;
+}
+
+export function configIds(world: World): readonly (string | undefined)[] {
+    return [...new Set(world.nodes.filter(node => node.alive).map(node => node.state.control.config?.id))];
+}
