--- /dev/null
+++ b/bench/peers.ts
@@ -0,0 +1,170 @@
+/**
+ * Small senders that stand for the other members of a deployment: they speak the real messages to one real
+ * node, from one process, and count the bytes each way.
+ */
+import { createSocket } from "node:dgram";
+import type { Socket } from "node:dgram";
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+import type { Socket as TcpSocket } from "node:net";
+import { decodeDatagram, encodeDatagram } from "../src/datagrams.ts";
+import { PeerAuth } from "../src/peerAuth.ts";
+import type { MemberUpdate, PeerDatagram, PeerRequest, PeerResponse } from "../src/peerMessages.ts";
+import type { Address, Member } from "../src/types.ts";
+
+const UDP_HEADER_BYTES = 28;
+const PROBE_PERIOD_MS = 1_000;
+const NO_AUTH = new PeerAuth(undefined);
+
+export interface Traffic {
+    /** Bytes that the node has sent, with UDP and IP headers for datagrams. */
+    readonly fromNode: number;
+    readonly toNode: number;
+    readonly datagramsFromNode: number;
+    readonly rpcsFromNode: number;
+}
+
+export class Peers {
+    readonly members: readonly Member[];
+    /** Members that do not answer: a crash, or the far side of a partition. */
+    readonly silent = new Set<string>();
+    updates: readonly MemberUpdate[] = [];
+    private readonly node: Address;
+    private readonly sockets: Socket[] = [];
+    private readonly servers: Server[] = [];
+    private readonly tcp = new Set<TcpSocket>();
+    private closedTcpBytes = { fromNode: 0, toNode: 0 };
+    private udp = { fromNode: 0, toNode: 0 };
+    private datagrams = 0;
+    private rpcs = 0;
+    private seq = 1;
+    private probeTimer: NodeJS.Timeout | undefined;
+    summary = { configNumber: 0, logOffset: -1 };
+
+    constructor(members: readonly Member[], node: Address) {
+        this.members = members;
+        this.node = node;
+    }
+
+    async start(): Promise<void> {
+        await Promise.all(this.members.map(member => this.listen(member)));
+        this.probeTimer = setInterval(() => this.probeNode(), PROBE_PERIOD_MS);
+    }
+
+    async stop(): Promise<void> {
+        clearInterval(this.probeTimer);
+        for (const socket of this.sockets) socket.close();
+        for (const server of this.servers) {
+            server.closeAllConnections();
+            server.close();
+        }
+    }
+
+    traffic(): Traffic {
+        let { fromNode, toNode } = this.closedTcpBytes;
+        for (const socket of this.tcp) {
+            fromNode += socket.bytesRead;
+            toNode += socket.bytesWritten;
+        }
+        return {
+            fromNode: fromNode + this.udp.fromNode,
+            toNode: toNode + this.udp.toNode,
+            datagramsFromNode: this.datagrams,
+            rpcsFromNode: this.rpcs,
+        };
+    }
+
+    private listen(member: Member): Promise<void> {
+        const socket = createSocket("udp4");
+        socket.on(
+            "message",
+            (bytes, from) => this.onDatagram(member, socket, bytes, { host: from.address, port: from.port }),
+        );
+        this.sockets.push(socket);
+        const server = createServer((req, res) => {
+            const chunks: Buffer[] = [];
+            req.on("data", (chunk: Buffer) => chunks.push(chunk));
+            req.on("end", () => {
+                if (this.silent.has(member.id)) return;
+                this.rpcs++;
+                const call = JSON.parse(Buffer.concat(chunks).toString()) as {
+                    id: number;
+                    method: string;
+                    params: object;
+                };
+                const request = { ...call.params, type: call.method } as PeerRequest;
+                res.setHeader("content-type", "application/json");
+                res.end(
+                    JSON.stringify({ jsonrpc: "2.0", id: call.id, result: this.answer(member, request) }),
+                );
+            });
+        });
+        server.on("connection", tcp => {
+            this.tcp.add(tcp);
+            tcp.once("close", () => {
+                this.tcp.delete(tcp);
+                this.closedTcpBytes.fromNode += tcp.bytesRead;
+                this.closedTcpBytes.toNode += tcp.bytesWritten;
+            });
+        });
+        this.servers.push(server);
+        const { host, port } = member.address;
+        return Promise.all([
+            new Promise<void>(resolve => socket.bind(port, host, () => resolve())),
+            new Promise<void>(resolve => server.listen(port, host, () => resolve())),
+        ]).then(() => undefined);
+    }
+
+    private answer(member: Member, request: PeerRequest): PeerResponse {
+        switch (request.type) {
+            case "swim.sync":
+                return {
+                    type: "swim.sync",
+                    updates: this.members.map(known => ({ member: known, status: "alive", refutation: 0 })),
+                };
+            case "control.state":
+                return { type: "control.state", offset: -1, views: {} };
+            case "view.back":
+                return { type: "view.back", backers: [member.id] };
+            case "view.promise":
+                return { type: "view.promise", voter: member.id };
+            case "view.relay":
+                return { type: "view.relay", offset: -1 };
+            case "records.handover":
+                return { type: "records.handover", accepted: true };
+            case "crashes.report":
+                return { type: "crashes.report" };
+        }
+    }
+
+    private onDatagram(member: Member, socket: Socket, bytes: Buffer, from: Address): void {
+        this.udp.fromNode += bytes.length + UDP_HEADER_BYTES;
+        this.datagrams++;
+        if (this.silent.has(member.id)) return;
+        const decoded = decodeDatagram(bytes, member.address, NO_AUTH);
+        if (!decoded.success) return;
+        const { type, seq } = decoded.value;
+        if (type === "swim.ping") this.send(socket, from, { type: "swim.ack", ...this.probe(member, seq) });
+    }
+
+    private probeNode(): void {
+        const index = this.seq % this.members.length;
+        const member = this.members[index];
+        const socket = this.sockets[index];
+        if (member === undefined || socket === undefined || this.silent.has(member.id)) {
+            this.seq++;
+            return;
+        }
+        this.send(socket, this.node, { type: "swim.ping", ...this.probe(member, this.seq++) });
+    }
+
+    private probe(sender: Member, seq: number): Omit<Extract<PeerDatagram, { type: "swim.ack"; }>, "type"> {
+        return { sender, seq, summary: this.summary, updates: this.updates.slice(0, 6) };
+    }
+
+    private send(socket: Socket, to: Address, datagram: PeerDatagram): void {
+        const bytes = Buffer.from(encodeDatagram(datagram, to, NO_AUTH));
+        this.udp.toNode += bytes.length + UDP_HEADER_BYTES;
+        socket.send(bytes, to.port, to.host);
+    }
+}
--- a/src/httpServers.ts
+++ b/src/httpServers.ts
@@ -5,7 +5,6 @@
 import type { Readable } from "node:stream";
 import type { CallReply, HttpRequest, RunReply } from "./exchanges.ts";
 import { answerHeaders, baggageMember, createTraceId, traceIdOf } from "./headers.ts";
-import { answerHeaders, baggageMember, traceIdOf } from "./headers.ts";
 import { uuidAgeMs } from "./keys.ts";
 import type { NotRun, Unknown } from "./types.ts";
 
--- a/src/reducer.ts
+++ b/src/reducer.ts
@@ -1,5 +1,6 @@
 /** The behaviour of a node: one pure function from a state and an event to the next state and effects. */
 import { expireCalls, onAttemptAnswered, onAttemptClosed, onCallCancelled, onCallStarted } from "./calls.ts";
+import { writeCheckpoint } from "./checkpointWriter.ts";
 import { noteCrash, onCrashReport } from "./crashes.ts";
 import type { EventOf, NodeEvent } from "./events.ts";
 import { onHandover, onHandoverAnswered } from "./handover.ts";
@@ -11,6 +12,7 @@
 import { expireRuns, onRunAnswered, onRunCancelled, onRunEnded, onRunStarted } from "./runs.ts";
 import type { NodeState, Step } from "./state.ts";
 import { andThen, step } from "./state.ts";
+import { answerState, fetchForGap, onPeerSummary, onStateFetched } from "./stateFetch.ts";
 import { onDatagram, onMembershipWake } from "./swim.ts";
 import { assertNever } from "./types.ts";
 import { back, onBacked } from "./views.ts";
@@ -58,7 +60,7 @@
         case "append_ended":
             return onAppendEnded(state, event);
         case "datagram_received":
-            return onDatagram(state, event);
+            return andThen(onDatagram(state, event), next => onPeerSummary(next, event));
         case "rpc_received":
             return onRpcReceived(state, event);
         case "rpc_ended":
@@ -84,6 +86,8 @@
     let result = expireCalls(state, event);
     result = andThen(result, next => expireRuns(next, event));
     result = andThen(result, next => onMembershipWake(next, event));
+    result = andThen(result, next => writeCheckpoint(next, event));
+    result = andThen(result, next => fetchForGap(next, event));
     return andThen(result, next => readOn(next, event));
 }
 
@@ -96,7 +100,8 @@
     const backed = onBacked(state, event);
     const proven = andThen(backed, next => onProofAnswered(next, event));
     const handed = andThen(proven, next => onHandoverAnswered(next, event));
-    return andThen(handed, next => onSynced(next, event));
+    const synced = andThen(handed, next => onSynced(next, event));
+    return andThen(synced, next => onStateFetched(next, event));
 }
 
 function onRpcReceived(state: NodeState, event: EventOf<"rpc_received">): Step {
@@ -129,15 +134,7 @@
         case "swim.sync":
             return answerSync(state, request, now);
         case "control.state":
-            return {
-                state,
-                response: {
-                    type: "control.state",
-                    offset: state.control.offset,
-                    config: state.control.config,
-                    views: state.control.views.toObject(),
-                },
-            };
+            return { state, response: answerState(state, request) };
         default:
             return assertNever(request);
     }
--- a/src/standins/logService.ts
+++ b/src/standins/logService.ts
@@ -4,6 +4,7 @@
  */
 import type { FastifyInstance } from "fastify";
 import { fastify } from "fastify";
+import type { Socket } from "node:net";
 import * as v from "valibot";
 import { safeParse } from "../parse.ts";
 import type { Address } from "../types.ts";
@@ -47,17 +48,35 @@
     readonly retentionRecords?: number | undefined;
 }
 
+export interface LogTraffic {
+    readonly received: number;
+    readonly sent: number;
+}
+
+function addBytes(sum: LogTraffic, socket: Socket): LogTraffic {
+    return { received: sum.received + socket.bytesRead, sent: sum.sent + socket.bytesWritten };
+}
+
 export class LogService {
     private readonly app: FastifyInstance;
     private readonly streams = new Map<string, Stream>();
     private readonly opts: LogServiceOptions;
     private faults: Faults = {};
+    private readonly sockets = new Set<Socket>();
+    private closedBytes: LogTraffic = { received: 0, sent: 0 };
     appends = 0;
     reads = 0;
 
     constructor(opts: LogServiceOptions) {
         this.opts = opts;
         this.app = fastify({ bodyLimit: RECORD_LIMIT_BYTES, forceCloseConnections: true });
+        this.app.server.on("connection", socket => {
+            this.sockets.add(socket);
+            socket.once("close", () => {
+                this.sockets.delete(socket);
+                this.closedBytes = addBytes(this.closedBytes, socket);
+            });
+        });
         this.app.addHook("onRequest", async (req, reply) => {
             if (req.url === "/faults") return;
             if (this.faults.slowMs !== undefined) await delay(this.faults.slowMs);
@@ -70,6 +89,11 @@
         await this.app.listen(this.opts.address);
     }
 
+    /** Bytes of all connections so far. */
+    traffic(): LogTraffic {
+        return [...this.sockets].reduce(addBytes, this.closedBytes);
+    }
+
     async stop(): Promise<void> {
         this.wakeAll();
         await this.app.close();
