Check the guarantees on random traces of requests and faults

Cause: hand-written scenarios cover only combinations that someone thought of.

Change: `ownershipTrace.ts` draws requests, resends, pauses, cuts, log outages, slow logs, lost answers, kills, joins, drains and target crashes, and checks that no key or request is started twice, that "not run" is never told for a request that was started, and that each call is told once. The horizon is 16 s, so that traces outlast the time in which inherited keys are "unknown".

--- /dev/null
+++ b/bench/soak.ts
@@ -0,0 +1,32 @@
+/**
+ * Runs random traces of requests and faults against the ownership scheme:
+ * `node --import tsx bench/soak.ts --seed 1 --steps 100000`.
+ */
+import fc from "fast-check";
+import { parseArgs } from "node:util";
+import { runTrace, traceSteps } from "../test/fakes/ownershipTrace.ts";
+
+const STEPS_PER_TRACE = 150;
+
+const { values } = parseArgs({
+    options: {
+        seed: { type: "string", default: "1" },
+        steps: { type: "string", default: "10000" },
+    },
+});
+const seed = Number(values.seed);
+const traces = Math.ceil(Number(values.steps) / STEPS_PER_TRACE);
+const told = new Map<string, number>();
+let failed = 0;
+for (let index = 0; index < traces; index++) {
+    const steps = fc.sample(traceSteps, { seed: seed + index, numRuns: STEPS_PER_TRACE });
+    const result = runTrace(seed + index, steps);
+    for (const [name, count] of result.told) told.set(name, (told.get(name) ?? 0) + count);
+    if (result.violations.length === 0) continue;
+    failed++;
+    console.log(JSON.stringify({ seed: seed + index, violations: result.violations }));
+}
+console.log(
+    JSON.stringify({ seed, traces, steps: traces * STEPS_PER_TRACE, failed, told: Object.fromEntries(told) }),
+);
+process.exitCode = failed > 0 ? 1 : 0;
--- /dev/null
+++ b/test/fakes/ownershipTrace.ts
@@ -0,0 +1,223 @@
+/** Random traces of requests and faults, and what must hold after each of them. */
+import fc from "fast-check";
+import { Bookings } from "./bookings.ts";
+import type { FakeNode } from "./fakeNode.ts";
+import type { Told } from "./world.ts";
+
+/** Requests of one window that use the same key number are resends of each other. */
+const KEYS = 6;
+const KEY_WINDOW_MS = 5_000;
+/** Short, so that traces last beyond the time in which every inherited key is answered as unknown. */
+const HORIZON_MS = 16_000;
+/**
+ * A request that reached a paused node is taken when the node resumes. A longer pause would make a resend arrive
+ * after the resend horizon, where the guarantee for callers' own keys ends.
+ */
+const PAUSE_AT_MOST_MS = 9_000;
+const MEMBERS_AT_MOST = 9;
+/** Long enough for every deadline, exclusion and wait after the last fault. */
+const CALM_MS = 12_000;
+
+const node = fc.nat(20);
+
+export const traceSteps = fc.oneof(
+    weighted(30, {
+        type: fc.constant("request"),
+        nodes: fc.array(node, { minLength: 1, maxLength: 6 }),
+        key: fc.nat(7),
+    }),
+    weighted(12, { type: fc.constant("run"), ms: fc.integer({ min: 1, max: 300 }) }),
+    weighted(8, { type: fc.constant("run"), ms: fc.integer({ min: 1_000, max: 25_000 }) }),
+    weighted(3, { type: fc.constant("pause"), node }),
+    weighted(2, { type: fc.constant("resume") }),
+    weighted(4, {
+        type: fc.constant("cut"),
+        mask: fc.constantFrom(1, 2, 4, 8, 16, 32, 3, 6, 12, 24, 48, 7, 28, 73),
+        log: fc.constantFrom("both", "one"),
+    }),
+    weighted(1, { type: fc.constant("heal") }),
+    weighted(1, { type: fc.constant("outage"), on: fc.constantFrom(true, false, false) }),
+    weighted(1, { type: fc.constant("loseAnswers"), on: fc.boolean() }),
+    weighted(1, { type: fc.constant("slowLog"), ms: fc.constantFrom(0, 0, 300, 1_500) }),
+    weighted(1, { type: fc.constant("kill"), node, host: fc.boolean() }),
+    weighted(2, { type: fc.constant("join"), reuse: fc.boolean() }),
+    weighted(1, { type: fc.constant("drain"), node }),
+    weighted(1, { type: fc.constant("crash"), node }),
+    weighted(1, { type: fc.constant("slow"), node, factor: fc.constantFrom(1, 20, 100) }),
+);
+
+function weighted<T>(weight: number, model: { [K in keyof T]: fc.Arbitrary<T[K]>; }) {
+    return { weight, arbitrary: fc.record(model) };
+}
+
+export type TraceStep = typeof traceSteps extends fc.Arbitrary<infer T> ? T : never;
+
+interface Sent {
+    readonly node: FakeNode;
+    readonly requestId: string;
+    readonly key?: string | undefined;
+    readonly told: Told[];
+}
+
+export interface TraceResult {
+    readonly violations: readonly string[];
+    /** Number of requests by what they were told. */
+    readonly told: ReadonlyMap<string, number>;
+}
+
+class Trace {
+    readonly bookings: Bookings;
+    private readonly sent: Sent[] = [];
+    private readonly answers = new Map<string, number>();
+
+    constructor(seed: number) {
+        this.bookings = new Bookings({ seed, horizonMs: HORIZON_MS });
+        this.bookings.nodes.forEach(node => this.watch(node));
+        this.bookings.settle();
+    }
+
+    private watch(node: FakeNode): void {
+        node.onEffect = effect => {
+            if (effect.type !== "refuse_call" && effect.type !== "relay_answer") return;
+            const name = `${node.member.id} ${effect.call}`;
+            this.answers.set(name, (this.answers.get(name) ?? 0) + 1);
+        };
+    }
+
+    private pick(index: number): FakeNode | undefined {
+        const alive = this.bookings.nodes.filter(node => node.alive);
+        return alive[index % Math.max(1, alive.length)];
+    }
+
+    apply(step: TraceStep): void {
+        const { world, nodes } = this.bookings;
+        switch (step.type) {
+            case "request":
+                return step.nodes.forEach(index => this.request(index, step.key));
+            case "run":
+                return world.run(step.ms);
+            case "pause":
+                return this.pause(step.node);
+            case "resume":
+                return nodes.filter(node => node.paused).forEach(node => node.resume());
+            case "cut": {
+                world.cut.clear();
+                const inside = nodes.filter((_, index) => (step.mask >> index % 9) % 2 === 1);
+                const outside = nodes.filter(node => !inside.includes(node));
+                world.setLinks(false, inside, step.log === "one" ? [...outside, "log"] : outside);
+                return;
+            }
+            case "heal":
+                return world.cut.clear();
+            case "outage":
+                world.log.outage = step.on;
+                return;
+            case "loseAnswers":
+                world.log.loseAnswers = step.on;
+                return;
+            case "slowLog":
+                world.log.slowMs = step.ms;
+                return;
+            case "kill": {
+                const node = this.pick(step.node);
+                return step.host ? node?.killHost() : node?.kill();
+            }
+            case "join":
+                return this.join(step.reuse);
+            case "drain":
+                return this.pick(step.node)?.drain();
+            case "crash":
+                return this.crash(step.node);
+            case "slow": {
+                const node = this.pick(step.node);
+                if (node !== undefined) node.target.slowdown = step.factor;
+                return;
+            }
+        }
+    }
+
+    private request(index: number, keyIndex: number): void {
+        const node = this.pick(index);
+        if (node === undefined) return;
+        const window = Math.floor(this.bookings.world.now / KEY_WINDOW_MS);
+        const key = keyIndex < KEYS ? `k${keyIndex}-${window}` : undefined;
+        const told: Told[] = [];
+        const requestId = this.bookings.world.request(
+            node,
+            "book",
+            answer => told.push(answer),
+            key === undefined ? {} : { key },
+        );
+        this.sent.push({ node, requestId, key, told });
+    }
+
+    private pause(index: number): void {
+        const node = this.pick(index);
+        node?.pause();
+        this.bookings.world.scheduler.after(PAUSE_AT_MOST_MS, () => node?.resume());
+    }
+
+    private join(reuse: boolean): void {
+        const { nodes } = this.bookings;
+        if (nodes.filter(node => node.alive).length >= MEMBERS_AT_MOST) return;
+        const gone = nodes.filter(node =>
+            !node.alive
+            && !nodes.some(other => other.alive && other.member.address.port === node.member.address.port)
+        );
+        const address = reuse ? gone.at(-1)?.member.address : undefined;
+        this.watch(this.bookings.add("booking", nodes.length, address));
+    }
+
+    private crash(index: number): void {
+        const node = this.pick(index);
+        if (node === undefined) return;
+        node.target.crash();
+        node.target.restart();
+    }
+
+    finish(): TraceResult {
+        const { world, nodes } = this.bookings;
+        world.cut.clear();
+        world.log.outage = false;
+        world.log.slowMs = 0;
+        nodes.filter(node => node.paused).forEach(node => node.resume());
+        world.run(CALM_MS);
+        const told = new Map<string, number>();
+        for (const { told: [answer] } of this.sent) {
+            const name = answer === undefined
+                ? "none"
+                : answer.type === "answered"
+                ? "answered"
+                : answer.reason;
+            told.set(name, (told.get(name) ?? 0) + 1);
+        }
+        return { violations: this.violations(), told };
+    }
+
+    private violations(): readonly string[] {
+        const found: string[] = [];
+        const starts = new Map<string, number>();
+        for (const { key, requestId } of this.bookings.started()) {
+            for (const name of new Set([key!, requestId])) starts.set(name, (starts.get(name) ?? 0) + 1);
+        }
+        for (const [name, count] of starts) {
+            if (count > 1) found.push(`${name} was started ${count} times`);
+        }
+        for (const { requestId, told, node } of this.sent) {
+            if (told[0]?.type === "not-run" && starts.has(requestId)) {
+                found.push(`${requestId} was started but told not run: ${told[0].reason}`);
+            }
+            if (told.length === 0 && node.alive) found.push(`${requestId} was told nothing`);
+        }
+        for (const [name, count] of this.answers) {
+            if (count > 1) found.push(`call ${name} was told ${count} times`);
+        }
+        return found;
+    }
+}
+
+export function runTrace(seed: number, steps: readonly TraceStep[]): TraceResult {
+    const trace = new Trace(seed);
+    for (const step of steps) trace.apply(step);
+    return trace.finish();
+}
