--- a/test/fakes/ownershipTrace.ts
+++ b/test/fakes/ownershipTrace.ts
@@ -1,5 +1,7 @@
 /** Random traces of requests and faults, and what must hold after each of them. */
 import fc from "fast-check";
+import { safeParse } from "../../src/parse.ts";
+import { peerRequestSchema, peerResponseSchema } from "../../src/schemas.ts";
 import { Bookings } from "./bookings.ts";
 import type { FakeNode } from "./fakeNode.ts";
 import type { Told } from "./world.ts";
@@ -69,6 +71,7 @@
     readonly bookings: Bookings;
     private readonly sent: Sent[] = [];
     private readonly answers = new Map<string, number>();
+    private readonly invalid: string[] = [];
 
     constructor(seed: number) {
         this.bookings = new Bookings({ seed, horizonMs: HORIZON_MS });
@@ -78,12 +81,23 @@
 
     private watch(node: FakeNode): void {
         node.onEffect = effect => {
+            if (effect.type === "send_rpc") this.checkMessage(peerRequestSchema, effect.request);
+            if (effect.type === "answer_rpc") this.checkMessage(peerResponseSchema, effect.response);
             if (effect.type !== "refuse_call" && effect.type !== "relay_answer") return;
             const name = `${node.member.id} ${effect.call}`;
             this.answers.set(name, (this.answers.get(name) ?? 0) + 1);
         };
     }
 
+    /** The fakes pass messages as they are; between processes an invalid one would be refused. */
+    private checkMessage(
+        schema: typeof peerRequestSchema | typeof peerResponseSchema,
+        message: unknown,
+    ): void {
+        const parsed = safeParse(schema, JSON.parse(JSON.stringify(message)));
+        if (!parsed.success) this.invalid.push(JSON.stringify(parsed.issues));
+    }
+
     private pick(index: number): FakeNode | undefined {
         const alive = this.bookings.nodes.filter(node => node.alive);
         return alive[index % Math.max(1, alive.length)];
@@ -195,7 +209,7 @@
     }
 
     private violations(): readonly string[] {
-        const found: string[] = [];
+        const found: string[] = [...this.invalid];
         const starts = new Map<string, number>();
         for (const { key, requestId } of this.bookings.started()) {
             for (const name of new Set([key!, requestId])) starts.set(name, (starts.get(name) ?? 0) + 1);
--- a/test/guarantees.test.ts
+++ b/test/guarantees.test.ts
@@ -5,12 +5,12 @@
 
 describe("guarantees", () => {
     it("hold on random traces of requests and faults", () => {
-        const steps = fc.array(traceSteps, { minLength: 100, maxLength: 140, size: "max" });
+        const steps = fc.array(traceSteps, { minLength: 150, maxLength: 150, size: "max" });
         fc.assert(
             fc.property(fc.nat(1_000_000), steps, (seed, trace) => {
                 expect(runTrace(seed, trace).violations).to.deep.equal([]);
             }),
-            { seed: 20_26, numRuns: 30, endOnFailure: true },
+            { seed: 20_26, numRuns: 50, endOnFailure: true },
         );
     });
 });
--- a/test/ownershipFaults.test.ts
+++ b/test/ownershipFaults.test.ts
@@ -238,6 +238,20 @@
         expect(reasonOf(bookings.book(caller!, key, 400))).to.equal("answered");
     });
 
+    it("takes no new work on a leaving node after 1.5 s although the log is away", () => {
+        const bookings = new Bookings({ target: { serviceMs: 5_000 } }).settle();
+        const [caller, holder] = bookings.nodes;
+        const keys = ["a", "b"].map(prefix =>
+            bookings.keyOwnedBy(caller!, owner => owner === holder, prefix)
+        );
+        bookings.world.log.outage = true;
+        bookings.book(caller!, keys[0], 10);
+        holder!.drain();
+        bookings.world.run(1_600);
+        bookings.book(caller!, keys[1]);
+        expect(keys.map(key => bookings.starts(key))).to.deep.equal([1, 0]);
+    });
+
     it("sends a request on when the caller's node reads of a leave too late", () => {
         const bookings = new Bookings().settle();
         const [caller, holder] = bookings.nodes;
