--- a/bench/peers.ts
+++ b/bench/peers.ts
@@ -33,8 +33,8 @@
     private readonly sockets: Socket[] = [];
     private readonly servers: Server[] = [];
     private readonly tcp = new Set<TcpSocket>();
-    private closedTcpBytes = { fromNode: 0, toNode: 0 };
-    private udp = { fromNode: 0, toNode: 0 };
+    private readonly closedTcpBytes = { fromNode: 0, toNode: 0 };
+    private readonly udp = { fromNode: 0, toNode: 0 };
     private datagrams = 0;
     private rpcs = 0;
     private seq = 1;
--- a/test/crashes.test.ts
+++ b/test/crashes.test.ts
@@ -63,6 +63,21 @@
         }
     });
 
+    it("clear an innocent that cannot clear itself because it is never run again", () => {
+        const { bookings } = createWorld(2);
+        const innocents = Array.from(
+            { length: 10 },
+            (_, index) => send(bookings, "book", { key: `k${index}` }),
+        );
+        bookings.world.run(3);
+        send(bookings, "browse", { requestId: POISON });
+        bookings.world.run(5_000);
+        expect(innocents.some(told => told[0]?.type === "unknown")).to.equal(true);
+        for (const node of bookings.nodes) {
+            expect(suspectsOf(node).keySeq().toArray()).to.deep.equal([`booking ${POISON}`]);
+        }
+    });
+
     it("run one suspect at a time on a target", () => {
         const { bookings } = createWorld(2);
         const ids = Array.from({ length: 6 }, (_, index) => String(index).repeat(32));
