Keep the heap of a node small with V8 flags set at start

Cause: a node took 135 to 168 MiB under load; the target is 128 MB.

Change: heapFlags.ts, imported first by main.ts, sets two flags that V8 reads at each collection: the young generation stays at its first size, and the old one is collected after a growth of 30 %. Flags of the command line cannot be put into a single executable with Node.js 20.

--- a/src/main.ts
+++ b/src/main.ts
@@ -1,4 +1,5 @@
 /** The command line: one program for nodes, operators and stand-ins. */
+import "./heapFlags.ts";
 import sade from "sade";
 import { runDev } from "./commands/dev.ts";
 import { runNode } from "./commands/node.ts";
