--- a/src/main.ts
+++ b/src/main.ts
@@ -1,4 +1,5 @@
 /** The command line: one program for nodes, operators and stand-ins. */
+import "./heapFlags.ts";
 import sade from "sade";
 import { runApply } from "./commands/apply.ts";
 import { runCheck } from "./commands/check.ts";
