--- a/src/controlReader.ts
+++ b/src/controlReader.ts
@@ -6,6 +6,8 @@
 import { HttpClients } from "./httpClients.ts";
 import type { LogBatch, LogClient } from "./logClient.ts";
 import type { CheckpointRecord } from "./logRecords.ts";
+import { Metrics } from "./metrics.ts";
+import { PeerAuth } from "./peerAuth.ts";
 import { sendRpc } from "./rpc.ts";
 import type { Address } from "./types.ts";
 
@@ -89,10 +91,11 @@
 }
 
 /** The control state of a node; undefined when it does not answer. */
-export async function readNodeState(node: Address): Promise<ControlState | undefined> {
+export async function readNodeState(node: Address, peerKey?: string): Promise<ControlState | undefined> {
     const clients = new HttpClients();
+    const opts = { clients, auth: new PeerAuth(peerKey), metrics: new Metrics() };
     try {
-        const answer = await sendRpc(clients, node, { type: "control.state" }, PEER_TIMEOUT_MS);
+        const answer = await sendRpc(opts, node, { type: "control.state" }, PEER_TIMEOUT_MS);
         if (answer?.type !== "control.state") return undefined;
         const { offset, config, views } = answer;
         return { ...createControlState(), offset, config, views: ImmutableMap(Object.entries(views)) };
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -78,11 +78,15 @@
     | "unknowns"
     | "retries"
     | "retries_denied"
+    | "redirects"
     | "late_answers"
     | "calls"
     | "runs"
     | "untracked_calls"
     | "bad_messages"
     | "control_messages"
+    /** Payload bytes by channel: datagram, rpc, log. */
+    | "control_bytes_sent"
+    | "control_bytes_received"
     | "view_changes"
     | "config_records";
--- a/src/logReader.ts
+++ b/src/logReader.ts
@@ -2,7 +2,9 @@
 import type { Map } from "immutable";
 import { replayRecord } from "./controlLog.ts";
 import type { EventOf, EventStamp } from "./events.ts";
+import { noteView } from "./handover.ts";
 import type { LogRecord } from "./logRecords.ts";
+import { learnViews } from "./membership.ts";
 import type { NodeState, Step } from "./state.ts";
 import { andThen, step } from "./state.ts";
 import { emptyMap } from "./util.ts";
@@ -37,8 +39,9 @@
     let result = step(state);
     for (const { offset, record } of event.records) {
         if (offset <= result.state.control.offset) continue;
-        result = andThen(result, next => applyRecord(next, offset, record));
+        result = andThen(result, next => applyRecord(next, offset, record, event.now));
     }
+    if (event.atTail) result = { ...result, state: learnViews(result.state, event.now) };
     const tailAskedAt = event.atTail ? event.askedAt : result.state.logReader.tailAskedAt;
     const read = { ...result.state, logReader: { ...result.state.logReader, reading: false, tailAskedAt } };
     const proven = event.atTail
@@ -47,11 +50,11 @@
     return andThen({ state: proven, effects: result.effects }, next => readOn(next, event));
 }
 
-function applyRecord(state: NodeState, offset: number, record: LogRecord): Step {
+function applyRecord(state: NodeState, offset: number, record: LogRecord, now: number): Step {
     const { state: control, verdict } = replayRecord(state.control, offset, record);
     const pending = state.logReader.pending.delete(record.id);
     return step(
-        { ...state, control, logReader: { ...state.logReader, pending } },
+        noteView({ ...state, control, logReader: { ...state.logReader, pending } }, now),
         {
             type: "count",
             counter: record.type === "view" ? "view_changes" : "config_records",
--- a/src/peerMessages.ts
+++ b/src/peerMessages.ts
@@ -17,6 +17,7 @@
 /** What a node says of its own state on every probe. */
 export interface StateSummary {
     readonly configNumber: number;
+    readonly configId?: string | undefined;
     readonly logOffset: number;
 }
 
@@ -25,6 +26,9 @@
     readonly seq: number;
     readonly summary: StateSummary;
     readonly updates: readonly MemberUpdate[];
+    /** The sender's own refutation counter and state; absent for 0 and false. */
+    readonly refutation?: number | undefined;
+    readonly draining?: boolean | undefined;
 }
 
 export type PeerDatagram =
@@ -35,14 +39,32 @@
 /** One key as handed over to its new owner. */
 export interface HandedRecord {
     readonly key: string;
-    readonly state: "done" | "unknown";
+    /** `begun`: still in progress at the former owner, which tells the end later. */
+    readonly state: "begun" | "done" | "unknown";
+    readonly fingerprint: string;
     readonly answer?: RecordedAnswer | undefined;
     /** Age of the record when it was sent, ms. */
     readonly ageMs: number;
 }
 
+/** A view change whose former owners, as far as listed, handed nothing over to the sender. */
+export interface HandedGap {
+    readonly version: number;
+    readonly offset: number;
+    readonly ageMs: number;
+    /** Ids of the members before the change; undefined when the sender does not know them. */
+    readonly before?: readonly string[] | undefined;
+    readonly lost: readonly string[];
+}
+
 export type PeerRequest =
-    | { readonly type: "swim.sync"; readonly sender: Member; readonly updates: readonly MemberUpdate[]; }
+    | {
+        readonly type: "swim.sync";
+        readonly sender: Member;
+        readonly updates: readonly MemberUpdate[];
+        /** A hash a bucket of the ids that the sender holds alive; the answer lists the buckets that differ. */
+        readonly digests?: readonly string[] | undefined;
+    }
     | { readonly type: "control.state"; }
     | {
         readonly type: "view.back";
@@ -59,6 +81,7 @@
         readonly viewVersion: number;
         readonly sender: string;
         readonly records: readonly HandedRecord[];
+        readonly gaps: readonly HandedGap[];
         /** Whether this is the last part of this sender's handover for the view version. */
         readonly last: boolean;
     }
@@ -71,7 +94,11 @@
     };
 
 export type PeerResponse =
-    | { readonly type: "swim.sync"; readonly updates: readonly MemberUpdate[]; }
+    | {
+        readonly type: "swim.sync";
+        readonly updates: readonly MemberUpdate[];
+        readonly digests?: readonly string[] | undefined;
+    }
     | {
         readonly type: "control.state";
         /** Last log offset applied, -1 for none. */
--- a/src/runs.ts
+++ b/src/runs.ts
@@ -4,17 +4,37 @@
  */
 import type { List, Map } from "immutable";
 import { List as createList } from "immutable";
-import { hasCapacity, loadReport, onEnded, onForwarded } from "./admission.ts";
+import {
+    hasCapacity,
+    loadReport,
+    onCalling,
+    onEnded,
+    onForwarded,
+    onOwnWorkDone,
+    setLevels,
+} from "./admission.ts";
+import { noteRunEnd } from "./crashes.ts";
 import type { EventOf, EventStamp } from "./events.ts";
-import { checkOwner } from "./ownership.ts";
-import { levelOf } from "./priority.ts";
+import { tellNewOwner } from "./handover.ts";
+import type { LevelsState } from "./levels.ts";
+import { adaptLevel, noteArrival } from "./levels.ts";
+import type { Entry } from "./ownership.ts";
+import { enterRun, fromRecord, keyOf, refusalOf, withOwnership } from "./ownership.ts";
+import { BUCKETS, levelOf } from "./priority.ts";
+import { finishKey } from "./records.ts";
+import { retryAfterFor } from "./retries.ts";
+import { lastQueued, levelBelow, nextQueued, queueFill, queueLimit, reportFor } from "./runQueue.ts";
 import type { NodeState, Step } from "./state.ts";
 import { andThen, findKind, step } from "./state.ts";
 import type { CallContext, Kind, NotRun, Unknown } from "./types.ts";
-import { notRun, unknown } from "./types.ts";
+import { notRun } from "./types.ts";
 import { emptyMap } from "./util.ts";
+import { mayStillTake } from "./waits.ts";
 
-const QUEUE_LIMIT = 64;
+/** Runs kept aside for a key; more are refused. */
+const PARKED_LIMIT = 256;
+/** Deadlines are checked in steps, so that many of them share one wake. */
+const WAKE_STEP_MS = 20;
 
 export interface Run {
     readonly id: number;
@@ -28,6 +48,10 @@
     readonly forwardedAt?: number | undefined;
     /** Extra attempts that calls of this run may still use. */
     readonly retries: number;
+    /** Calls of this run in progress. */
+    readonly openCalls: number;
+    readonly hasCalled: boolean;
+    readonly callFailed: boolean;
 }
 
 export interface RunsState {
@@ -61,9 +85,12 @@
 
 export function onRunStarted(state: NodeState, event: EventOf<"run_started">): Step {
     const kind = findKind(state, event.ctx.kind);
-    const refused = refuseAtArrival(state, event, kind);
+    const known = kind === undefined
+        ? undefined
+        : fromRecord(state, { ctx: event.ctx, kind, fingerprint: event.fingerprint }, event);
+    const refused = known !== undefined ? undefined : refuseAtArrival(state, event, kind);
     if (refused !== undefined || kind === undefined) {
-        return refuseRun(state, event.run, refused ?? notRun("unknown-kind"), event.ctx.retries);
+        return refuseRun(state, event.run, refused ?? notRun("unknown-kind"), event.ctx.retries, event);
     }
     const run: Run = {
         id: event.run,
@@ -75,21 +102,59 @@
         deadlineAt: event.now + event.ctx.deadlineMs,
         phase: "queued",
         retries: event.ctx.retries,
+        openCalls: 0,
+        hasCalled: false,
+        callFailed: false,
     };
-    if (run.level > state.admission.level) {
-        return refuseRun(state, run.id, notRun("level", 1_000), run.retries);
+    if (known !== undefined) return enter(state, run, known, event);
+    return admit(adaptLevels(state, event), run, event);
+}
+
+function adaptLevels(state: NodeState, stamp: EventStamp): NodeState {
+    // While the limit still grows, a full queue says nothing of the target's capacity.
+    const floor = state.admission.growsFast ? BUCKETS - 1 : -1;
+    const levels = adaptLevel(state.admission.levels, stamp.now, queueFill(state), floor);
+    return { ...state, admission: setLevels(state.admission, levels) };
+}
+
+function noteLevels(state: NodeState, change: Partial<LevelsState>): NodeState {
+    return { ...state, admission: { ...state.admission, levels: { ...state.admission.levels, ...change } } };
+}
+
+function admit(before: NodeState, run: Run, stamp: EventStamp): Step {
+    const retryAfterMs = retryAfterFor(before.admission.level, stamp.rand);
+    const cutoff = Math.min(before.admission.level, levelBelow(before, run.kind, stamp.now));
+    if (run.level > cutoff) {
+        return endRefused(before, run, notRun("level", retryAfterMs), stamp);
+    }
+    const state = noteLevels(before, noteArrival(before.admission.levels, run.level));
+    if (hasCapacity(state.admission, run.kind.priority)) {
+        return forward(putRun(noteLevels(state, { queueEmptied: true }), run), run, stamp);
     }
-    if (hasCapacity(state.admission)) return forward(putRun(state, run), run, event);
-    if (state.runs.queue.size >= QUEUE_LIMIT) {
-        return refuseRun(state, run.id, notRun("over-limit", 1_000), run.retries);
+    if (state.runs.queue.size < queueLimit(state)) return enqueue(state, run);
+    const dropped = noteLevels(state, { dropped: true });
+    const worst = lastQueued(state);
+    if (worst === undefined || worst.level <= run.level) {
+        return endRefused(dropped, run, notRun("over-limit", retryAfterMs), stamp);
     }
+    return andThen(
+        endRefused(dropped, worst, notRun("over-limit", retryAfterMs), stamp),
+        next => enqueue(next, run),
+    );
+}
+
+function enqueue(state: NodeState, run: Run): Step {
     const queued = putRun(state, run);
     return step(
         { ...queued, runs: { ...queued.runs, queue: queued.runs.queue.push(run.id) } },
-        { type: "wake_at", at: run.deadlineAt },
+        { type: "wake_at", at: wakeTime(run.deadlineAt) },
     );
 }
 
+export function wakeTime(deadlineAt: number): number {
+    return Math.ceil(deadlineAt / WAKE_STEP_MS) * WAKE_STEP_MS;
+}
+
 function refuseAtArrival(
     state: NodeState,
     event: EventOf<"run_started">,
@@ -97,47 +162,66 @@
 ): NotRun | undefined {
     if (state.control.config === undefined) return notRun("no-configuration", 1_000);
     if (kind === undefined) return notRun("unknown-kind");
-    if (state.draining) return notRun("draining");
+    if (state.draining && !mayStillTake(state, event.ctx.key, event.now)) return notRun("draining");
     if (state.target === undefined || state.target.lost) return notRun("target-down");
     if (event.ctx.deadlineMs <= 0) return notRun("deadline");
     return undefined;
 }
 
 function forward(state: NodeState, run: Run, stamp: EventStamp): Step {
-    const target = state.target;
-    if (target === undefined) return endUnrun(state, run, notRun("target-down"));
-    if (run.ctx.key === undefined || !run.kind.nonIdempotent) return forwardNow(state, run, stamp);
-    const owner = checkOwner(state, run.ctx.key, stamp.now);
-    if (owner.type === "refuse") return endUnrun(state, run, notRun(owner.reason));
-    const record = state.records.keys.get(run.ctx.key);
-    if (record === undefined) {
-        const keys = state.records.keys.set(run.ctx.key, { state: "begun", run: run.id, at: stamp.now });
-        return forwardNow({ ...state, records: { ...state.records, keys } }, run, stamp, owner.startBefore);
-    }
-    switch (record.state) {
-        case "begun":
-            return endUnrun(state, run, notRun("in-progress", 1_000));
-        case "unknown":
-            return endUnrun(state, run, unknown("connection-lost"));
-        case "done":
-            if (record.answer === undefined) return endUnrun(state, run, unknown("already-run"));
+    if (state.target === undefined) return endUnrun(state, run, notRun("target-down"));
+    return enter(state, run, enterRun(state, run, stamp), stamp);
+}
+
+function enter(state: NodeState, run: Run, entry: Entry, stamp: EventStamp): Step {
+    switch (entry.type) {
+        case "start":
+            return forwardNow(entry.state, run, stamp, entry.startBefore);
+        case "park":
+            return parkRun(state, run, entry.until, stamp.now);
+        case "end":
+            return endUnrun(state, run, entry.outcome);
+        case "replay":
             return step(removeRun(state, run), {
                 type: "replay_run",
                 run: run.id,
-                answer: record.answer,
+                answer: entry.answer,
                 retriesLeft: run.retries,
                 load: loadReport(state.admission),
             });
     }
 }
 
+/** Keeps a run aside until its key can be run or answered, or its deadline passes. */
+function parkRun(state: NodeState, run: Run, until: number, now: number): Step {
+    const { parked } = state.ownership;
+    if (parked.size >= PARKED_LIMIT && !parked.has(run.id)) {
+        return endUnrun(state, run, refusalOf(state, run, notRun("over-limit", 1_000), now));
+    }
+    return step(withOwnership(putRun(state, run), { parked: parked.set(run.id, until) }), {
+        type: "wake_at",
+        at: Math.min(until, run.deadlineAt),
+    });
+}
+
+/** Looks again at a run that was kept aside. */
+export function enterAgain(state: NodeState, id: number, stamp: EventStamp): Step {
+    const run = state.runs.runs.get(id);
+    const parked = withOwnership(state, { parked: state.ownership.parked.delete(id) });
+    if (run?.phase !== "queued") return step(parked);
+    const known = fromRecord(state, run, stamp);
+    if (known !== undefined) return enter(parked, run, known, stamp);
+    if (hasCapacity(state.admission, run.kind.priority)) return forward(parked, run, stamp);
+    return step({ ...parked, runs: { ...parked.runs, queue: parked.runs.queue.push(id) } });
+}
+
 function forwardNow(state: NodeState, run: Run, stamp: EventStamp, startBefore?: number): Step {
     const forwarded: Run = { ...run, phase: "forwarded", forwardedAt: stamp.now };
     const next = putRun(state, forwarded);
     return step(
         {
             ...next,
-            admission: onForwarded(next.admission),
+            admission: onForwarded(next.admission, stamp.now),
             runs: { ...next.runs, byRequest: next.runs.byRequest.set(run.ctx.requestId, run.id) },
         },
         { type: "count", counter: "runs", label: run.kind.name },
@@ -159,52 +243,79 @@
         type: "relay_run",
         run: run.id,
         retriesLeft: run.retries,
-        load: loadReport(state.admission),
+        load: reportFor(state, run.kind, event.now),
     });
 }
 
+/** Tells a run that its target has begun a call. */
+export function noteCallBegun(state: NodeState, id: number, now: number): NodeState {
+    const run = state.runs.runs.get(id);
+    if (run === undefined) return state;
+    const next = putRun(state, { ...run, openCalls: run.openCalls + 1, hasCalled: true });
+    if (run.openCalls > 0) return next;
+    const admission = run.hasCalled ? next.admission : onOwnWorkDone(next.admission, now);
+    return { ...next, admission: onCalling(admission, now, 1) };
+}
+
+export function noteCallEnded(state: NodeState, id: number, now: number, failed: boolean): NodeState {
+    const run = state.runs.runs.get(id);
+    if (run === undefined) return state;
+    const callFailed = run.callFailed || failed;
+    const next = putRun(state, { ...run, openCalls: run.openCalls - 1, callFailed });
+    return run.openCalls > 1 ? next : { ...next, admission: onCalling(next.admission, now, -1) };
+}
+
 export function onRunEnded(state: NodeState, event: EventOf<"run_ended">): Step {
     const run = state.runs.runs.get(event.run);
     if (run?.forwardedAt === undefined) return step(state);
-    const admission = onEnded(state.admission, {
-        now: event.now,
-        latencyMs: event.now - run.forwardedAt,
-        ok: event.outcome.type === "ran" && event.outcome.status < 500,
-    });
+    const { now, outcome } = event;
+    const isCancelled = outcome.type === "unknown" && outcome.reason === "cancelled";
+    const isOk = run.callFailed || isCancelled || (outcome.type === "ran" && outcome.status < 500);
+    const called = run.openCalls > 0 ? onCalling(state.admission, now, -1) : state.admission;
+    const admission = onEnded(run.hasCalled ? called : onOwnWorkDone(called, now), now, isOk);
     const ended = noteRecord({ ...removeRun(state, run), admission }, run, event);
-    const refused = event.outcome.type === "ran" || run.phase === "answered"
-        ? step(ended)
-        : refuseRun(ended, run.id, event.outcome, run.retries);
+    const { outcome } = event;
+    const refused = outcome.type === "ran" || run.phase === "answered"
+        ? ended
+        : andThen(ended, next => refuseRun(next, run.id, outcome, run.retries, event, run.kind));
     return andThen(refused, next => startQueued(next, event));
 }
 
-function noteRecord(state: NodeState, run: Run, event: EventOf<"run_ended">): NodeState {
-    const key = run.ctx.key;
-    if (key === undefined || !run.kind.nonIdempotent) return state;
-    const keys = event.outcome.type === "not-run"
-        ? state.records.keys.delete(key)
-        : state.records.keys.set(
-            key,
-            event.outcome.type === "ran"
-                ? { state: "done", answer: event.answer, at: event.now }
-                : { state: "unknown", at: event.now },
-        );
-    return { ...state, records: { ...state.records, keys } };
+function noteRecord(state: NodeState, run: Run, event: EventOf<"run_ended">): Step {
+    const ended = noteRunEnd(state, run, event);
+    const key = keyOf(run);
+    if (key === undefined) return ended;
+    const noted = finishKey(ended.state, key, run, event);
+    return step(noted, ...ended.effects, ...tellNewOwner(noted, key, event.now));
 }
 
 function startQueued(state: NodeState, stamp: EventStamp): Step {
-    let result = step(state);
-    while (result.state.runs.queue.size > 0 && hasCapacity(result.state.admission)) {
-        const id = result.state.runs.queue.first()!;
-        result = andThen(result, next => {
-            const popped = { ...next, runs: { ...next.runs, queue: next.runs.queue.shift() } };
-            const run = popped.runs.runs.get(id);
-            if (run === undefined) return step(popped);
-            if (run.deadlineAt <= stamp.now) return endUnrun(popped, run, notRun("queue-timeout"));
-            return forward(popped, run, stamp);
-        });
+    let result = step(adaptLevels(state, stamp));
+    let run = nextQueued(result.state);
+    while (run !== undefined) {
+        const next = run;
+        if (!hasCapacity(result.state.admission, next.kind.priority)) return result;
+        result = andThen(result, popped => startOrDrop(dequeue(popped, next), next, stamp));
+        run = nextQueued(result.state);
     }
-    return result;
+    return step(noteLevels(result.state, { queueEmptied: true }), ...result.effects);
+}
+
+/** Drops a run that can no longer meet its deadline, by the own latency of the target. */
+function startOrDrop(state: NodeState, run: Run, stamp: EventStamp): Step {
+    const { baseMs = 0 } = state.admission;
+    if (run.deadlineAt > stamp.now + baseMs / 2) return forward(state, run, stamp);
+    const dropped = noteLevels(state, { dropped: true });
+    return endRefused(
+        dropped,
+        run,
+        notRun("queue-timeout", retryAfterFor(state.admission.level, stamp.rand)),
+        stamp,
+    );
+}
+
+function dequeue(state: NodeState, run: Run): NodeState {
+    return { ...state, runs: { ...state.runs, queue: state.runs.queue.filter(id => id !== run.id) } };
 }
 
 export function onRunCancelled(state: NodeState, event: EventOf<"run_cancelled">): Step {
@@ -214,21 +325,38 @@
     return step(removeRun(state, run), { type: "count", counter: "refusals", label: "cancelled" });
 }
 
-/** Refuses queued runs whose deadline has passed and cancels forwarded ones. */
+/** Refuses queued runs whose deadline has passed. */
 export function expireRuns(state: NodeState, stamp: EventStamp): Step {
     let result = step(state);
-    for (const run of state.runs.runs.values()) {
-        if (run.deadlineAt > stamp.now || run.phase !== "queued") continue;
-        result = andThen(result, next => endUnrun(next, run, notRun("queue-timeout")));
+    let nextAt = Infinity;
+    for (const id of [...state.runs.queue, ...state.ownership.parked.keys()]) {
+        const run = result.state.runs.runs.get(id);
+        if (run === undefined) continue;
+        if (run.deadlineAt > stamp.now) nextAt = Math.min(nextAt, run.deadlineAt);
+        else result = andThen(result, next => endRefused(next, run, notRun("queue-timeout"), stamp));
     }
-    return result;
+    if (nextAt === Infinity) return result;
+    return step(result.state, ...result.effects, { type: "wake_at", at: wakeTime(nextAt) });
+}
+
+function endUnrun(state: NodeState, run: Run, outcome: NotRun | Unknown, stamp?: EventStamp): Step {
+    return refuseRun(removeRun(state, run), run.id, outcome, run.retries, stamp, run.kind);
 }
 
-function endUnrun(state: NodeState, run: Run, outcome: NotRun | Unknown): Step {
-    return refuseRun(removeRun(state, run), run.id, outcome, run.retries);
+/** Ends a run that was not started, unless an earlier send of its key may have been. */
+function endRefused(state: NodeState, run: Run, outcome: NotRun, stamp: EventStamp): Step {
+    return endUnrun(state, run, refusalOf(state, run, outcome, stamp.now), stamp);
 }
 
-function refuseRun(state: NodeState, run: number, outcome: NotRun | Unknown, retriesLeft: number): Step {
+function refuseRun(
+    state: NodeState,
+    run: number,
+    outcome: NotRun | Unknown,
+    retriesLeft: number,
+    stamp?: EventStamp,
+    kind?: Kind,
+): Step {
+    const load = stamp === undefined ? loadReport(state.admission) : reportFor(state, kind, stamp.now);
     return step(
         state,
         {
@@ -236,7 +364,7 @@
             counter: outcome.type === "not-run" ? "refusals" : "unknowns",
             label: outcome.reason,
         },
-        { type: "refuse_run", run, outcome, retriesLeft, load: loadReport(state.admission) },
+        { type: "refuse_run", run, outcome, retriesLeft, load },
     );
 }
 
