--- a/src/runs.ts
+++ b/src/runs.ts
@@ -274,7 +274,6 @@
     const called = run.openCalls > 0 ? onCalling(state.admission, now, -1) : state.admission;
     const admission = onEnded(run.hasCalled ? called : onOwnWorkDone(called, now), now, isOk);
     const ended = noteRecord({ ...removeRun(state, run), admission }, run, event);
-    const { outcome } = event;
     const refused = outcome.type === "ran" || run.phase === "answered"
         ? ended
         : andThen(ended, next => refuseRun(next, run.id, outcome, run.retries, event, run.kind));
