--- a/src/commands/apply.ts
+++ b/src/commands/apply.ts
@@ -6,7 +6,7 @@
 import { publish } from "../publish.ts";
 import type { Environment, Flags } from "../settings.ts";
 import { readUrl, SettingsReader } from "../settings.ts";
-import { checkFlags, LOG_URL, readCount, readNodes, readPositive } from "./flags.ts";
+import { checkFlags, LOG_URL, readCount, readNodes, readPeerKey, readPositive } from "./flags.ts";
 
 const DEFAULT_TIMEOUT_S = 30;
 const AUTHOR_LIMIT = 256;
@@ -20,6 +20,7 @@
     const reader = new SettingsReader(flags, env);
     const logUrl = reader.required("log-url", readUrl, LOG_URL);
     const nodes = readNodes(reader);
+    const peerKey = readPeerKey(reader);
     const base = reader.optional("base", readCount, "the number of a version, 0 for none");
     const timeoutS = reader.optional("timeout-s", readPositive, "a number of seconds over 0")
         ?? DEFAULT_TIMEOUT_S;
@@ -38,6 +39,7 @@
             author: author ?? userInfo().username,
             base,
             nodes,
+            peerKey,
             timeoutMs: timeoutS * 1_000,
             print,
         });
--- a/src/commands/diff.ts
+++ b/src/commands/diff.ts
@@ -9,7 +9,7 @@
 import { SettingsReader } from "../settings.ts";
 import type { Address, ConfigVersion } from "../types.ts";
 import { formatAddress } from "../types.ts";
-import { checkFlags, readLogUrl, readNodes, requireSource } from "./flags.ts";
+import { checkFlags, readLogUrl, readNodes, readPeerKey, requireSource } from "./flags.ts";
 
 export async function runDiff(
     directory: string,
@@ -20,10 +20,13 @@
     const reader = new SettingsReader(flags, env);
     const logUrl = readLogUrl(reader);
     const nodes = readNodes(reader);
+    const peerKey = readPeerKey(reader);
     checkFlags(reader);
     requireSource(logUrl, nodes);
     const configuration = readFileSet(directory);
-    const current = logUrl === undefined ? await readFromNodes(nodes) : await readFromLog(logUrl, nodes);
+    const current = logUrl === undefined
+        ? await readFromNodes(nodes, peerKey)
+        : await readFromLog(logUrl, nodes, peerKey);
     const version = current === undefined ? "no version" : `version ${current.number} of ${current.author}`;
     const labels = { before: version, after: directory };
     const changes = diffConfigurations(current?.configuration, configuration, labels);
@@ -36,10 +39,14 @@
     print(`\nagainst ${version}; to publish: filbertspool apply ${directory} --base ${current?.number ?? 0}`);
 }
 
-async function readFromLog(url: string, nodes: readonly Address[]): Promise<ConfigVersion | undefined> {
+async function readFromLog(
+    url: string,
+    nodes: readonly Address[],
+    peerKey: string | undefined,
+): Promise<ConfigVersion | undefined> {
     const log = new LogClient(url);
     try {
-        return (await new ControlReader(log, nodes).readToTail()).config;
+        return (await new ControlReader(log, nodes, peerKey).readToTail()).config;
     }
     finally {
         await log.close();
@@ -47,14 +54,17 @@
 }
 
 /** The highest version that one of the nodes has. */
-async function readFromNodes(nodes: readonly Address[]): Promise<ConfigVersion | undefined> {
-    const states = await Promise.all(nodes.map(node => readNodeState(node)));
+async function readFromNodes(
+    nodes: readonly Address[],
+    peerKey: string | undefined,
+): Promise<ConfigVersion | undefined> {
+    const states = await Promise.all(nodes.map(node => readNodeState(node, peerKey)));
     const silent = nodes.filter((_, index) => states[index] === undefined);
     if (silent.length > 0) {
         throw new CommandError(silent.map(node => ({
             code: "unreachable",
             path: [formatAddress(node)],
-            message: "no answer to control.state",
+            message: "no answer to control.state; is the node up, and --peer-key that of the nodes?",
         })));
     }
     return states.flatMap(state => state?.config ?? []).sort((a, b) => b.number - a.number)[0];
--- a/src/commands/flags.ts
+++ b/src/commands/flags.ts
@@ -24,6 +24,15 @@
     return reader.optional("log-url", readUrl, LOG_URL);
 }
 
+/** The key of the nodes, for reading their control state. */
+export function readPeerKey(reader: SettingsReader): string | undefined {
+    return reader.optional(
+        "peer-key",
+        text => text.length >= 16 ? text : undefined,
+        "at least 16 characters",
+    );
+}
+
 /** Throws when a flag was wrong. */
 export function checkFlags(reader: SettingsReader): void {
     if (reader.issues.length > 0) throw new SettingsError(reader.issues);
--- a/src/commands/status.ts
+++ b/src/commands/status.ts
@@ -9,16 +9,17 @@
 import { SettingsReader } from "../settings.ts";
 import type { Address } from "../types.ts";
 import { formatAddress } from "../types.ts";
-import { checkFlags, readLogUrl, readNodes, requireSource } from "./flags.ts";
+import { checkFlags, readLogUrl, readNodes, readPeerKey, requireSource } from "./flags.ts";
 import { formatTable } from "./table.ts";
 
 export async function runStatus(flags: Flags, env: Environment, print: Print): Promise<void> {
     const reader = new SettingsReader(flags, env);
     const logUrl = readLogUrl(reader);
     const nodes = readNodes(reader);
+    const peerKey = readPeerKey(reader);
     checkFlags(reader);
     requireSource(logUrl, nodes);
-    const known = logUrl === undefined ? nodes : await addressesFromLog(logUrl, nodes);
+    const known = logUrl === undefined ? nodes : await addressesFromLog(logUrl, nodes, peerKey);
     const answers = await readAll(known);
     if (flags["json"] === true) print(JSON.stringify(toJson(answers), undefined, 4));
     else printTables(answers, print);
@@ -35,10 +36,14 @@
     })));
 }
 
-async function addressesFromLog(url: string, nodes: readonly Address[]): Promise<readonly Address[]> {
+async function addressesFromLog(
+    url: string,
+    nodes: readonly Address[],
+    peerKey: string | undefined,
+): Promise<readonly Address[]> {
     const log = new LogClient(url);
     try {
-        const { views } = await new ControlReader(log, nodes).readToTail();
+        const { views } = await new ControlReader(log, nodes, peerKey).readToTail();
         return uniqueAddresses(nodes, membersOfViews(views.values()));
     }
     finally {
--- a/src/controlReader.ts
+++ b/src/controlReader.ts
@@ -16,14 +16,16 @@
 export class ControlReader {
     private readonly log: LogClient;
     private readonly nodes: readonly Address[];
+    private readonly peerKey: string | undefined;
     private current = createControlState();
     /** Verdicts by record id; the first copy of a record decides. */
     private readonly verdicts = new Map<string, RecordVerdict>();
 
     /** `nodes` are asked for their state when the log has expired records and holds no checkpoint. */
-    constructor(log: LogClient, nodes: readonly Address[] = []) {
+    constructor(log: LogClient, nodes: readonly Address[] = [], peerKey?: string) {
         this.log = log;
         this.nodes = nodes;
+        this.peerKey = peerKey;
     }
 
     get state(): ControlState {
@@ -66,7 +68,7 @@
         const checkpoint = await this.newestCheckpoint(first);
         if (checkpoint !== undefined) return stateOfCheckpoint(checkpoint);
         for (const node of this.nodes) {
-            const state = await readNodeState(node);
+            const state = await readNodeState(node, this.peerKey);
             if (state !== undefined && state.offset >= first - 1) return state;
         }
         const message =
--- a/src/main.ts
+++ b/src/main.ts
@@ -80,6 +80,7 @@
 }
 
 const LOG_FLAG = { "log-url": "URL of the log service" };
+const KEY_FLAG = { "peer-key": "Shared key of the nodes, to read the control state of one" };
 const NODE_FLAG = { "node": "Peer addresses of nodes, separated by commas" };
 
 addCommand({
@@ -105,7 +106,7 @@
 addCommand({
     name: "diff",
     describe: "Show what a file set would change",
-    flags: { ...LOG_FLAG, ...NODE_FLAG },
+    flags: { ...LOG_FLAG, ...NODE_FLAG, ...KEY_FLAG },
     action: { onDirectory: (directory, flags) => runDiff(directory, flags, process.env, print) },
 });
 addCommand({
@@ -114,6 +115,7 @@
     flags: {
         ...LOG_FLAG,
         ...NODE_FLAG,
+        ...KEY_FLAG,
         "base": "Number of the version that the change was made from, 0 for none",
         "author": "Name that others see (default: the user)",
         "timeout-s": "How long to wait for the log and the nodes (default 30)",
@@ -123,7 +125,7 @@
 addCommand({
     name: "status",
     describe: "Show what the nodes know and do",
-    flags: { ...LOG_FLAG, ...NODE_FLAG, "json": "Print JSON" },
+    flags: { ...LOG_FLAG, ...NODE_FLAG, ...KEY_FLAG, "json": "Print JSON" },
     action: flags => runStatus(flags, process.env, print),
 });
 addCommand({
--- a/src/publish.ts
+++ b/src/publish.ts
@@ -27,6 +27,8 @@
     readonly base?: number | undefined;
     /** Peer addresses of nodes to ask besides the members in the views. */
     readonly nodes: readonly Address[];
+    /** Key of the nodes, when they have one. */
+    readonly peerKey?: string | undefined;
     readonly timeoutMs: number;
     readonly print: Print;
 }
@@ -34,7 +36,7 @@
 /** Resolves with the number of the version once it is in force on every node that can be seen. */
 export async function publish(opts: PublishOptions): Promise<number> {
     const { configuration, print } = opts;
-    const reader = new ControlReader(opts.log, opts.nodes);
+    const reader = new ControlReader(opts.log, opts.nodes, opts.peerKey);
     const deadline = Date.now() + opts.timeoutMs;
     const { config } = await reader.readToTail();
     checkBase(config, opts.base);
--- a/test/operatorCommands.test.ts
+++ b/test/operatorCommands.test.ts
@@ -19,7 +19,7 @@
 
     const badInputs: readonly (readonly [readonly string[], RegExp])[] = [
         [["aply", "x"], /^unknown command "aply"; valid: node, check, diff, apply/],
-        [["status", "--nod", "x"], /^unknown flag --nod; valid: --log-url, --node, --json/],
+        [["status", "--nod", "x"], /^unknown flag --nod; valid: --log-url, --node, --peer-key, --json/],
         [["check"], /^missing directory; usage: filbertspool check <dir>/],
         [["check", "/nonexistent"], /^\/nonexistent: not a readable directory .*; give one with kinds\.yaml/],
         [["apply", "examples/demo", "extra"], /^unexpected argument "extra"/],
@@ -62,6 +62,7 @@
         const source = ["--log-url", logUrl];
         processes.start(["standin-log", "--listen", log!]);
         const node = ["--service", "gallery", "--egress", egress!];
+        const key = ["--peer-key", "0123456789012345678"];
         await untilStatus(`${logUrl}/streams/control/records?from=0`, 200);
         processes.start([
             "node",
@@ -73,6 +74,7 @@
             "--peer",
             peer!,
             ...source,
+            ...key,
         ]);
         processes.start(["standin-target", ...node, "--listen", target!]);
 
@@ -90,7 +92,8 @@
             "superseded by version 1 of anna; run diff and apply again\n",
         );
         expect((await apply(changed, "--base", "1")).code).to.equal(0);
-        expect((await processes.run(["diff", changed, "--node", peer!])).stdout).to.equal(
+        expect((await processes.run(["diff", changed, "--node", peer!])).stderr).to.contain("is the node up");
+        expect((await processes.run(["diff", changed, "--node", peer!, ...key])).stdout).to.equal(
             "no change against version 2 of anna\n",
         );
 
