--- a/src/peerServer.ts
+++ b/src/peerServer.ts
@@ -53,7 +53,13 @@
     server.get("/healthz", async () => ({ alive: true }));
     server.get("/readyz", async (_req, reply) => {
         const missing = missingForReadiness(opts.state());
-        return reply.code(missing.length === 0 ? 200 : 503).send({ ready: missing.length === 0, missing });
+        // `apply` polls the version here: a small answer, unlike the status, which lists all members.
+        const version = opts.state().control.config?.number ?? 0;
+        return reply.code(missing.length === 0 ? 200 : 503).send({
+            ready: missing.length === 0,
+            missing,
+            version,
+        });
     });
 }
 
