--- a/src/reducer.ts
+++ b/src/reducer.ts
@@ -2,6 +2,7 @@
 import { expireCalls, onAttemptAnswered, onAttemptClosed, onCallCancelled, onCallStarted } from "./calls.ts";
 import { writeCheckpoint } from "./checkpointWriter.ts";
 import { noteCrash, onCrashReport } from "./crashes.ts";
+import { exitWhenDone, noteSender, onDrainRequested, onDrainWake } from "./drain.ts";
 import type { EventOf, NodeEvent } from "./events.ts";
 import { onHandover, onHandoverAnswered } from "./handover.ts";
 import { onAppendEnded, onLogFailed, onLogGone, onLogRead, readOn } from "./logReader.ts";
@@ -16,12 +17,12 @@
 import { onDatagram, onMembershipWake } from "./swim.ts";
 import { assertNever } from "./types.ts";
 import { back, onBacked } from "./views.ts";
-import { hasLeft, keepOwnership } from "./waits.ts";
+import { keepOwnership } from "./waits.ts";
 
 export function reduce(state: NodeState, event: NodeEvent): Step {
     return andThen(
         andThen(reduceEvent(state, event), next => keepOwnership(next, event)),
-        next => exitWhenDrained(next, event.now),
+        next => exitWhenDone(next, event),
     );
 }
 
@@ -36,7 +37,7 @@
         case "call_cancelled":
             return onCallCancelled(state, event);
         case "run_started":
-            return onRunStarted(state, event);
+            return onRunStarted(noteSender(state, event.ctx.sender, event.now), event);
         case "run_answered":
             return onRunAnswered(state, event);
         case "run_ended":
@@ -48,9 +49,10 @@
         case "target_lost":
             return onTargetLost(state, event);
         case "drain_requested":
-            return step(withOwnership({ ...state, draining: true }, {
-                leavingSince: state.ownership.leavingSince ?? event.now,
-            }));
+            return onDrainRequested(
+                withOwnership(state, { leavingSince: state.ownership.leavingSince ?? event.now }),
+                event,
+            );
         case "log_read":
             return onLogRead(state, event);
         case "log_gone":
@@ -60,7 +62,7 @@
         case "append_ended":
             return onAppendEnded(state, event);
         case "datagram_received":
-            return andThen(onDatagram(state, event), next => onPeerSummary(next, event));
+            return andThen(onDatagram(noteDatagram(state, event), event), next => onPeerSummary(next, event));
         case "rpc_received":
             return onRpcReceived(state, event);
         case "rpc_ended":
@@ -86,16 +88,12 @@
     let result = expireCalls(state, event);
     result = andThen(result, next => expireRuns(next, event));
     result = andThen(result, next => onMembershipWake(next, event));
+    result = andThen(result, next => onDrainWake(next, event));
     result = andThen(result, next => writeCheckpoint(next, event));
     result = andThen(result, next => fetchForGap(next, event));
     return andThen(result, next => readOn(next, event));
 }
 
-function exitWhenDrained(state: NodeState, now: number): Step {
-    if (!state.draining || !state.runs.runs.isEmpty() || !state.calls.calls.isEmpty()) return step(state);
-    return hasLeft(state, now) ? step(state, { type: "exit" }) : step(state);
-}
-
 function onRpcEnded(state: NodeState, event: EventOf<"rpc_ended">): Step {
     const backed = onBacked(state, event);
     const proven = andThen(backed, next => onProofAnswered(next, event));
@@ -104,6 +102,11 @@
     return andThen(synced, next => onStateFetched(next, event));
 }
 
+function noteDatagram(state: NodeState, event: EventOf<"datagram_received">): NodeState {
+    const { sender, type } = event.datagram;
+    return noteSender(state, sender.id, event.now, type === "swim.ack");
+}
+
 function onRpcReceived(state: NodeState, event: EventOf<"rpc_received">): Step {
     const { state: next, response } = answerRpc(state, event);
     return step(next, { type: "answer_rpc", token: event.token, response });
