Wait for all joins before the booking of the end-to-end test

Cause: the test resends one key until it is answered 200. When the booking reached its target before the gallery had joined, the target answered 503, and the key rightly kept this answer, so that each resend got it too.

Change: the test waits until each node's status lists the three views. The checks of the booking are the same.

--- a/test/endToEnd.test.ts
+++ b/test/endToEnd.test.ts
@@ -1,6 +1,6 @@
 /** The whole path as separate processes: log service, targets, nodes, the operator's command and a caller. */
 import { expect } from "chai";
-import { fetchText, freeAddress, ProcessGroup, untilStatus } from "./support/processes.ts";
+import { fetchText, freeAddress, ProcessGroup, until, untilStatus } from "./support/processes.ts";
 
 const CHAIN = [
     { service: "calendar", calls: "booking" },
@@ -11,6 +11,7 @@
 interface Deployment {
     readonly logUrl: string;
     readonly entry: string;
+    readonly peers: readonly string[];
     readonly targets: readonly string[];
 }
 
@@ -19,6 +20,7 @@
     const logUrl = `http://${log}`;
     processes.start(["standin-log", "--listen", log]);
     const entries: string[] = [];
+    const peers: string[] = [];
     const targets: string[] = [];
     for (const { service, calls } of CHAIN) {
         const [entry, peer, egress, target] = [
@@ -48,9 +50,10 @@
             ...(calls === undefined ? [] : ["--calls", calls]),
         ]);
         entries.push(entry);
+        peers.push(peer);
         targets.push(target);
     }
-    return { logUrl, entry: entries[0]!, targets };
+    return { logUrl, entry: entries[0]!, peers, targets };
 }
 
 describe("end to end", () => {
@@ -58,10 +61,18 @@
     after(() => processes.stop());
 
     it("carries a booking through three services, once each", async () => {
-        const { logUrl, entry, targets } = await startChain(processes);
+        const { logUrl, entry, peers, targets } = await startChain(processes);
         await untilStatus(`${logUrl}/streams/control/records?from=0`, 200);
         const applied = await processes.run(["apply", "examples/demo", "--log-url", logUrl]);
         expect(applied).to.include({ code: 0, stderr: "" });
+        // A booking that reaches a target before the deeper service has joined fails there, for good: its key
+        // keeps that answer.
+        for (const peer of peers) {
+            await until(
+                `http://${peer}/status`,
+                text => CHAIN.every(({ service }) => text.includes(`"${service}":{"version":`)),
+            );
+        }
         const headers = { "baggage": "fp.kind=book", "idempotency-key": "booking-1" };
         const answer = await untilStatus(`http://${entry}/launches/7`, 200, { method: "POST", headers });
         expect(JSON.parse(answer.text)).to.have.nested.property("deeper[0].deeper[0].service", "gallery");
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -90,3 +90,14 @@
     }
     throw new Error(`${url} did not answer ${status}; last answer: ${JSON.stringify(answer)}`);
 }
+
+/** Repeats a query until the text of its answer satisfies a condition. */
+export async function until(url: string, accepts: (text: string) => boolean): Promise<void> {
+    let answer: TextAnswer | undefined;
+    for (let tries = 0; tries < POLL_LIMIT; tries++) {
+        answer = await fetchText(url).catch(() => undefined);
+        if (answer?.status === 200 && accepts(answer.text)) return;
+        await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+    throw new Error(`${url} did not answer as expected; last answer: ${JSON.stringify(answer)}`);
+}
