--- a/test/endToEnd.test.ts
+++ b/test/endToEnd.test.ts
@@ -1,6 +1,6 @@
 /** The whole path as separate processes: log service, targets, nodes, the operator's command and a caller. */
 import { expect } from "chai";
-import { fetchText, freeAddress, ProcessGroup, untilStatus } from "./support/processes.ts";
+import { fetchText, freeAddress, ProcessGroup, until, untilStatus } from "./support/processes.ts";
 
 const CHAIN = [
     { service: "calendar", calls: "booking" },
@@ -65,6 +65,14 @@
         await untilStatus(`${logUrl}/streams/control/records?from=0`, 200);
         const applied = await processes.run(["apply", "examples/demo", "--log-url", logUrl]);
         expect(applied).to.include({ code: 0, stderr: "" });
+        // A booking that reaches a target before the deeper service has joined fails there, for good: its key
+        // keeps that answer.
+        for (const peer of peers) {
+            await until(
+                `http://${peer}/status`,
+                text => CHAIN.every(({ service }) => text.includes(`"${service}":{"version":`)),
+            );
+        }
         const headers = { "baggage": "fp.kind=book", "idempotency-key": "booking-1" };
         // Earlier, calendar's answer to a refusal of booking would be recorded for the key and replayed.
         await Promise.all(peers.map(peer => untilStatus(`http://${peer}/readyz`, 200)));
