--- a/bench/figures.ts
+++ b/bench/figures.ts
@@ -39,7 +39,7 @@
     const during = simulation.sent.filter(sent => intervals.some(({ from, to }) => isIn(sent, from, to)));
     const usefulMs = sum(simulation.sent.filter(sent => sent.ok).map(sent => sent.workMs));
     return {
-        weighted: worthOf(during) / idealWorth(setting, during, intervals, played.capacity ?? 1),
+        weighted: weightedShare(simulation, intervals, played.capacity ?? 1),
         goodput: Object.fromEntries(
             setting.kinds.map(kind => [kind.kind.name, okShare(during.filter(sent => sent.kind === kind))]),
         ),
@@ -64,6 +64,16 @@
     return sent.length === 0 ? 1 : sent.filter(({ ok }) => ok).length / sent.length;
 }
 
+/** Worth finished of the requests that arrived in the intervals, as a share of the ideal. */
+export function weightedShare(
+    simulation: Simulation,
+    intervals: readonly Interval[],
+    capacity: number,
+): number {
+    const sent = simulation.sent.filter(found => intervals.some(({ from, to }) => isIn(found, from, to)));
+    return worthOf(sent) / idealWorth(simulation.setting, sent, intervals, capacity);
+}
+
 function worthOf(sent: readonly Sent[]): number {
     return sum(sent.filter(({ ok }) => ok).map(({ kind }) => kind.kind.worth));
 }
@@ -98,7 +108,7 @@
  * share of the offered, and the mean latency of each of the two highest priorities with worth, within 5 % of
  * before. Sampling error of two standard errors is allowed for, since service times are exponential.
  */
-function recoveryOf(simulation: Simulation, endedAt: number): number {
+export function recoveryOf(simulation: Simulation, endedAt: number): number {
     const before = simulation.sent.filter(sent =>
         isIn(sent, simulation.startedAt + 3_000, simulation.startedAt + BEFORE_MS)
     );
--- a/src/routing.ts
+++ b/src/routing.ts
@@ -198,8 +198,10 @@
             ejections: stats.ejections + 1,
         };
     }
-    // A failure that is fast says nothing of how fast the target works.
-    if (failed) return { ...stats, errorShare, results };
+    // An answer that only tells of a failure says nothing of how fast the target works.
+    if (failed || (result.outcome.type === "ran" && result.outcome.status >= 500)) {
+        return { ...stats, errorShare, results };
+    }
     const latencyMs = stats.latencyMs === 0
         ? result.latencyMs
         : stats.latencyMs + LATENCY_SMOOTHING * (result.latencyMs - stats.latencyMs);
--- a/src/runs.ts
+++ b/src/runs.ts
@@ -28,6 +28,8 @@
 
 /** Deadlines are checked in steps, so that many of them share one wake. */
 const WAKE_STEP_MS = 20;
+/** Demand of priority 0 over capacity from which on it is cut. */
+const VITAL_EXCESS = 1.5;
 
 export interface Run {
     readonly id: number;
@@ -100,8 +102,10 @@
 }
 
 function adaptLevels(state: NodeState, stamp: EventStamp): NodeState {
-    // While the limit still grows, a full queue says nothing of the target's capacity.
-    const floor = state.admission.growsFast ? BUCKETS - 1 : -1;
+    // Priority 0 is cut only when its own demand exceeds capacity clearly: both vary from window to window. While
+    // the limit still grows, a full queue says nothing of the target's capacity.
+    const { growsFast, levels: { demand, capacity } } = state.admission;
+    const floor = growsFast || demand[0]! <= capacity * VITAL_EXCESS ? BUCKETS - 1 : -1;
     const levels = adaptLevel(state.admission.levels, stamp.now, queueFill(state), floor);
     return { ...state, admission: setLevels(state.admission, levels) };
 }
--- /dev/null
+++ b/test/admission.test.ts
@@ -0,0 +1,88 @@
+/** The concurrency limit against a target of known slots; guards against limits that collapse or run away. */
+import { expect } from "chai";
+import type { AdmissionState } from "../src/admission.ts";
+import { createAdmissionState, hasCapacity, onEnded, onForwarded, onOwnWorkDone } from "../src/admission.ts";
+import { adaptLevel, createLevelsState, MAX_LEVEL, noteArrival } from "../src/levels.ts";
+import { FakeTarget } from "./fakes/fakeTarget.ts";
+import { Scheduler } from "./fakes/scheduler.ts";
+
+/** Offers more than the target can take, and reports the limit and the rate of ends. */
+class Saturated {
+    state: AdmissionState = createAdmissionState();
+    readonly scheduler = new Scheduler(7);
+    readonly target: FakeTarget;
+    private ended = 0;
+
+    constructor(slots: number) {
+        const callDeeper = () => undefined;
+        this.target = new FakeTarget(this.scheduler, { slots, serviceMs: 20, callDeeper }, () => undefined);
+    }
+
+    private fill(): void {
+        while (hasCapacity(this.state, 3)) {
+            this.state = onForwarded(this.state, this.scheduler.now);
+            const done = (ok: boolean) => {
+                this.state = onEnded(onOwnWorkDone(this.state, this.scheduler.now), this.scheduler.now, ok);
+                this.ended += 1;
+                this.fill();
+            };
+            this.target.submit({
+                requestId: "",
+                kind: "",
+                done: outcome => done(outcome.type === "answered" && outcome.status === 200),
+            });
+        }
+    }
+
+    /** Runs, and returns what part of the target's capacity was used in the last half of the time. */
+    run(ms: number, capacityPerMs: number): number {
+        this.fill();
+        this.scheduler.runUntil(this.scheduler.now + ms / 2);
+        this.ended = 0;
+        this.scheduler.runUntil(this.scheduler.now + ms / 2);
+        return this.ended / (capacityPerMs * ms / 2);
+    }
+}
+
+describe("concurrency limit", () => {
+    for (const slots of [20, 50, 340]) {
+        it(`finds ${slots} slots and follows a target that slows and speeds up`, () => {
+            const load = new Saturated(slots);
+            for (const slowdown of [1, 5, 1]) {
+                load.target.slowdown = slowdown;
+                const used = load.run(10_000, slots / 20 / slowdown);
+                expect(used, `used at slowdown ${slowdown}`).to.be.at.least(0.95);
+                expect(load.state.limit, `limit at slowdown ${slowdown}`).to.be.at.most(2 * slots);
+            }
+        });
+    }
+
+    it("falls on a target that answers errors fast and comes back", () => {
+        const load = new Saturated(50);
+        load.run(5_000, 1);
+        load.target.failing = true;
+        load.run(1_000, 1);
+        expect(load.state.limit).to.be.below(10);
+        load.target.failing = false;
+        expect(load.run(4_000, 50 / 20)).to.be.at.least(0.95);
+    });
+});
+
+describe("admission level", () => {
+    it("admits the rate that the target finishes, and opens again without pressure", () => {
+        let state = createLevelsState();
+        let now = 0;
+        const pass = (perPriority: number, completions: number, queueEmptied: boolean) => {
+            let arrivals = state;
+            for (let level = 0; level <= state.cutoff; level++) {
+                if (level % Math.round(128 / perPriority) === 0) arrivals = noteArrival(arrivals, level);
+            }
+            now += 100;
+            state = adaptLevel({ ...arrivals, completions, queueEmptied }, now, 0.3, -1);
+        };
+        for (let i = 0; i < 20; i++) pass(16, 32, false);
+        expect(state.cutoff).to.be.within(2 * 128 - 40, 2 * 128 + 40);
+        for (let i = 0; i < 30; i++) pass(1, 8, true);
+        expect(state.cutoff).to.equal(MAX_LEVEL);
+    });
+});
--- /dev/null
+++ b/test/retries.test.ts
@@ -0,0 +1,112 @@
+/** Invariants of attempts under faults: bounded extra attempts, counts that return to zero, true refusals. */
+import { expect } from "chai";
+import fc from "fast-check";
+import type { Told } from "./fakes/world.ts";
+import { createConfiguration, createKind, World } from "./fakes/world.ts";
+import { busyProblem } from "./support/scenario.ts";
+
+interface Sent {
+    readonly id: string;
+    readonly kind: string;
+    told?: Told;
+}
+
+const kinds = [
+    createKind("read", { retries: 3, deadlineMs: 400 }),
+    createKind("pay", { retries: 2, deadlineMs: 400, nonIdempotent: true, priority: 0 }),
+];
+
+/** `fan` calls two services one after the other, which both call `leaf`. */
+const graph = { fan: ["left", "right"], left: ["leaf"], right: ["leaf"], leaf: [] };
+
+function createFan(seed: number): World {
+    const world = new World({ seed });
+    for (const [service, calls] of Object.entries(graph)) {
+        for (const dataCentre of ["a", "b"]) {
+            world.addNode({ service, dataCentre, target: { slots: 3, serviceMs: 10, calls } });
+        }
+    }
+    const services = Object.keys(graph).map(name => ({
+        name,
+        defaultKind: "read",
+        calls: [],
+        connections: 10,
+    }));
+    const configuration = createConfiguration({ kinds, services });
+    world.appendToLog({ type: "config", id: "v1", base: "none", author: "test", configuration });
+    world.run(10_000);
+    return world;
+}
+
+const faults = fc.array(
+    fc.record({
+        what: fc.constantFrom("cut", "mend", "crash", "restart", "fail", "heal", "slow", "fast"),
+        node: fc.nat(7),
+        burst: fc.integer({ min: 1, max: 30 }),
+        runMs: fc.integer({ min: 1, max: 150 }),
+    }),
+    { minLength: 3, maxLength: 12 },
+);
+
+function play(seed: number, steps: typeof faults extends fc.Arbitrary<infer T> ? T : never) {
+    const world = createFan(seed);
+    const extra = new Map<string, number>();
+    let redirecting = false;
+    for (const node of world.nodes) {
+        node.onEffect = effect => {
+            if (effect.type === "count" && effect.counter === "redirects") redirecting = true;
+            if (effect.type !== "send_attempt" || effect.attempt === 0) return;
+            if (!redirecting) extra.set(effect.ctx.requestId, (extra.get(effect.ctx.requestId) ?? 0) + 1);
+            redirecting = false;
+        };
+    }
+    const sent: Sent[] = [];
+    for (const { what, node: index, burst, runMs } of steps) {
+        const node = world.nodes[index]!;
+        const rest = world.nodes.filter(other => other !== node);
+        if (what === "cut" || what === "mend") world.setLinks(what === "mend", [node], rest);
+        if (what === "crash") node.target.crash();
+        if (what === "restart") node.target.restart();
+        if (what === "fail" || what === "heal") node.target.failing = what === "fail";
+        if (what === "slow" || what === "fast") node.target.slowdown = what === "slow" ? 20 : 1;
+        for (let i = 0; i < burst; i++) {
+            const kind = kinds[i % kinds.length]!.name;
+            const entry: Sent = { id: "", kind };
+            const id = world.request(world.nodes[i % 2]!, kind, told => {
+                entry.told = told;
+            });
+            sent.push(Object.assign(entry, { id }));
+        }
+        world.run(runMs);
+    }
+    world.setLinks(true, world.nodes, world.nodes);
+    world.run(5_000);
+    return { world, extra, sent };
+}
+
+describe("attempts under faults", () => {
+    it("keeps extra attempts within the allowance, ends every call and tells the truth", () => {
+        fc.assert(
+            fc.property(fc.integer({ min: 1, max: 1_000 }), faults, (seed, steps) => {
+                const { world, extra, sent } = play(seed, steps);
+                for (const { id, kind, told } of sent) {
+                    const { retries, nonIdempotent } = kinds.find(({ name }) => name === kind)!;
+                    expect(extra.get(id) ?? 0, "extra attempts").to.be.at.most(retries);
+                    expect(told, "answer").to.not.equal(undefined);
+                    const starts = world.nodes.map(node => ({
+                        service: node.member.service,
+                        count: node.target.started.filter(task => task.requestId === id).length,
+                    }));
+                    const total = starts.reduce((sum, { count }) => sum + count, 0);
+                    if (told?.type === "not-run") expect(total, "starts of a request not run").to.equal(0);
+                    if (!nonIdempotent) continue;
+                    const entry = starts.filter(({ service }) => service === "fan");
+                    expect(entry.reduce((sum, { count }) => sum + count, 0), "starts of a payment").to.be.at
+                        .most(1);
+                }
+                expect(busyProblem(world.nodes)).to.equal(undefined);
+            }),
+            { numRuns: 60, seed: 1 },
+        );
+    });
+});
