Ask for one tick of the ownership at a time

Cause: each wake asked for another one 250 ms later, and the runtime keeps every time that it was asked for, so that every wake from elsewhere started a further series, up to one for each 10 ms. Change: the next tick is part of the state and asked for once. The fakes keep every time too, as the runtime does.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -189,7 +189,7 @@
 
     private async changeConfiguration(): Promise<void> {
         const id = `config-${++this.configNumber}`;
-        await this.append({
+        this.append({
             type: "config",
             id,
             base: this.configId,
@@ -205,7 +205,7 @@
             services.set(member.service, [...services.get(member.service) ?? [], member]);
         }
         for (const [service, members] of services) {
-            await this.append({
+            this.append({
                 type: "view",
                 id: `first-${service}`,
                 service,
@@ -229,17 +229,13 @@
         const backers = voters.map(voter => voter.id);
         const common = { type: "view", service: member.service, members: [member], voters, backers } as const;
         this.peers.updates = [{ member, status: "alive", refutation: this.replacements }];
-        await this.append({ ...common, id: `leave-${base}`, baseVersion: base, change: "leave" });
-        await this.append({ ...common, id: `join-${base}`, baseVersion: base + 1, change: "join" });
+        this.append({ ...common, id: `leave-${base}`, baseVersion: base, change: "leave" });
+        this.append({ ...common, id: `join-${base}`, baseVersion: base + 1, change: "join" });
     }
 
-    private async append(record: LogRecord): Promise<void> {
-        const res = await request(`http://${formatAddress(this.logAddress)}/streams/control/records`, {
-            method: "POST",
-            headers: { "content-type": "application/json" },
-            body: JSON.stringify(record),
-        });
-        await res.body.dump();
+    /** In the same process, so that the bench's own appends are not counted as the node's traffic. */
+    private append(record: LogRecord): void {
+        this.log.append("control", record);
     }
 
     private async announce(egressPort: number): Promise<void> {
--- a/bench/peers.ts
+++ b/bench/peers.ts
@@ -8,8 +8,12 @@
 import type { Server } from "node:http";
 import type { Socket as TcpSocket } from "node:net";
 import { decodeDatagram, encodeDatagram } from "../src/datagrams.ts";
+import { createNodeState } from "../src/initialState.ts";
+import { createEntry, putEntry } from "../src/membership.ts";
+import { answerSync } from "../src/memberSync.ts";
 import { PeerAuth } from "../src/peerAuth.ts";
 import type { MemberUpdate, PeerDatagram, PeerRequest, PeerResponse } from "../src/peerMessages.ts";
+import type { NodeState } from "../src/state.ts";
 import type { Address, Member } from "../src/types.ts";
 
 const UDP_HEADER_BYTES = 28;
@@ -30,6 +34,8 @@
     readonly silent = new Set<string>();
     updates: readonly MemberUpdate[] = [];
     private readonly node: Address;
+    /** What every peer knows of the members. */
+    private readonly known: NodeState;
     private readonly sockets: Socket[] = [];
     private readonly servers: Server[] = [];
     private readonly tcp = new Set<TcpSocket>();
@@ -44,6 +50,9 @@
     constructor(members: readonly Member[], node: Address) {
         this.members = members;
         this.node = node;
+        const state = createNodeState({ self: members[0]! });
+        const known = members.reduce((all, member) => putEntry(all, createEntry(member, 0)), state.members);
+        this.known = { ...state, members: known };
     }
 
     async start(): Promise<void> {
@@ -118,10 +127,7 @@
     private answer(member: Member, request: PeerRequest): PeerResponse {
         switch (request.type) {
             case "swim.sync":
-                return {
-                    type: "swim.sync",
-                    updates: this.members.map(known => ({ member: known, status: "alive", refutation: 0 })),
-                };
+                return answerSync(this.known, request, performance.now()).response;
             case "control.state":
                 return { type: "control.state", offset: -1, views: {} };
             case "view.back":
--- a/bench/processStats.ts
+++ b/bench/processStats.ts
@@ -1,16 +1,15 @@
 /** Processor time and resident memory of a process, read from the kernel's process file system. */
-import { readFileSync } from "node:fs";
+import { readdirSync, readFileSync } from "node:fs";
 
-/** The kernel reports processor time in ticks of 10 ms on all usual builds. */
-const TICK_MS = 10;
-const UTIME_FIELD = 11;
-const STIME_FIELD = 12;
 const KB_PER_MB = 1_024;
+const NS_PER_MS = 1_000_000;
 
+/** Processor time of all threads. The scheduler's own count is used: ticks of 10 ms miss or overstate short wakes. */
 export function cpuMs(pid: number): number {
-    const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
-    const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
-    return (Number(fields[UTIME_FIELD]) + Number(fields[STIME_FIELD])) * TICK_MS;
+    return readdirSync(`/proc/${pid}/task`).reduce((sum, task) => {
+        const runtimeNs = readFileSync(`/proc/${pid}/task/${task}/schedstat`, "utf8").split(" ")[0];
+        return sum + Number(runtimeNs) / NS_PER_MS;
+    }, 0);
 }
 
 export function rssMb(pid: number): number {
--- a/src/ownership.ts
+++ b/src/ownership.ts
@@ -34,6 +34,8 @@
     readonly backed: Map<string, number>;
     /** The view of this node's service that `gaps` is up to date with. */
     readonly view?: View | undefined;
+    /** When the next tick of the ownership's own work is due. */
+    readonly tickAt?: number | undefined;
     /** When this node read of that view. */
     readonly notedAt?: number | undefined;
     /** Past changes that moved keys to this node without a handover so far. */
--- a/src/standins/logService.ts
+++ b/src/standins/logService.ts
@@ -117,13 +117,18 @@
         return true;
     }
 
+    /** Appends a record in the same process and returns its offset. */
+    append(name: string, record: unknown): number {
+        const stream = this.stream(name);
+        stream.records.push({ record, at: Date.now() });
+        this.appends++;
+        stream.waiters.forEach(wake => wake());
+        return this.tailOf(stream) - 1;
+    }
+
     private addRoutes(): void {
         this.app.post("/streams/:stream/records", async (req, reply) => {
-            const stream = this.stream((req.params as { stream: string; }).stream);
-            const offset = stream.first + stream.records.length;
-            stream.records.push({ record: req.body, at: Date.now() });
-            this.appends++;
-            stream.waiters.forEach(wake => wake());
+            const offset = this.append((req.params as { stream: string; }).stream, req.body);
             if (this.takeLostAnswer()) {
                 reply.hijack();
                 // Destroying the request would leave the socket open once its body has been read.
--- a/src/waits.ts
+++ b/src/waits.ts
@@ -40,16 +40,18 @@
     }
     if (isTick) result = andThen(result, next => resumeCalls(next, event));
     if (type !== "wake") return result;
-    const next = expireKeys(result.state, event.now);
-    return step(next, ...result.effects, { type: "wake_at", at: nextWake(next, event.now) });
+    return tick({ ...result, state: expireKeys(result.state, event.now) }, event.now);
 }
 
-function nextWake(state: NodeState, now: number): number {
-    const times = [
-        ...state.ownership.waitingCalls.values(),
-        ...state.ownership.sending.valueSeq().map(sending => sending.nextAt),
-    ].filter(at => at > now);
-    return Math.min(now + TICK_MS, ...times);
+/**
+ * Asks for the next tick once the last one is over. A request on every wake would start another series of ticks
+ * for each wake that was asked for elsewhere, up to one for each 10 ms.
+ */
+function tick(result: Step, now: number): Step {
+    const { tickAt = -Infinity } = result.state.ownership;
+    if (now < tickAt) return result;
+    const next = withOwnership(result.state, { tickAt: now + TICK_MS });
+    return step(next, ...result.effects, { type: "wake_at", at: now + TICK_MS });
 }
 
 /** Looks again at the runs that wait for a key. */
--- a/test/fakes/fakeNode.ts
+++ b/test/fakes/fakeNode.ts
@@ -23,6 +23,7 @@
 }
 
 const LOG_DELAY_MS = 2;
+const WAKE_GRID_MS = 10;
 const RPC_TIMEOUT_MS = 1_000;
 const LOSS_NOTICE_MS = 10;
 const ANNOUNCE_PERIOD_MS = 2_000;
@@ -39,7 +40,7 @@
     readonly traffic = new Traffic();
     private readonly world: World;
     private nextId = 1;
-    private wakeAt = Infinity;
+    private readonly wakes = new Set<number>();
     private readonly calls = new Map<number, (told: Told) => void>();
     private readonly attempts = new Map<string, { cancel: () => void; status?: number; }>();
     private readonly runs = new Map<number, PendingRun>();
@@ -91,7 +92,6 @@
         this.lostRuns.clear();
     }
 
-    /** Ends the whole host. */
     killHost(): void {
         this.kill();
         this.target.crash();
@@ -198,12 +198,13 @@
         }
     }
 
+    /** Keeps every time that was asked for, on the grid of the runtime's timer. */
     private scheduleWake(at: number): void {
-        if (at >= this.wakeAt) return;
-        this.wakeAt = at;
-        this.world.scheduler.after(at - this.world.now, () => {
-            if (this.wakeAt !== at) return;
-            this.wakeAt = Infinity;
+        const time = Math.ceil(at / WAKE_GRID_MS) * WAKE_GRID_MS;
+        if (this.wakes.has(time)) return;
+        this.wakes.add(time);
+        this.world.scheduler.after(time - this.world.now, () => {
+            this.wakes.delete(time);
             this.dispatch({ type: "wake" });
         });
     }
