--- a/bench/measure.ts
+++ b/bench/measure.ts
@@ -69,6 +69,16 @@
             }
         }
     }
+    if (jobs.length === 0) {
+        const names = (all: readonly { readonly name: string; }[]) => all.map(({ name }) => name).join(", ");
+        console.error(
+            `no run matches: --setting is part of one of ${names(settings)}; --system of ${
+                systems.join(", ")
+            }; `
+                + `--case of ${names(cases)}; --seeds is at least 1`,
+        );
+        process.exit(1);
+    }
     // Runs without control take longest, so they start first.
     return jobs.map((job, index) => ({ ...job, index })).sort((a, b) =>
         Number(b.system === "no-control") - Number(a.system === "no-control")
