--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -5,8 +5,6 @@
  */
 import { spawn } from "node:child_process";
 import { writeFileSync } from "node:fs";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import sade from "sade";
 import { request } from "undici";
 import type { LogRecord } from "../src/logRecords.ts";
@@ -14,6 +12,7 @@
 import { LogService } from "../src/standins/logService.ts";
 import type { Address, Configuration, Member } from "../src/types.ts";
 import { formatAddress } from "../src/types.ts";
+import { freePort } from "../test/support/processes.ts";
 import { Peers } from "./peers.ts";
 import { cpuMs, rssMb } from "./processStats.ts";
 
@@ -39,16 +38,6 @@
     readonly datagramsPerS: number;
 }
 
-function freePort(): Promise<number> {
-    return new Promise(resolve => {
-        const server = createServer();
-        server.listen(0, HOST, () => {
-            const { port } = server.address() as AddressInfo;
-            server.close(() => resolve(port));
-        });
-    });
-}
-
 function createMembers(count: number, generation = 0): readonly Member[] {
     return Array.from({ length: count }, (_, index) => ({
         id: `${generation}-${index.toString(16).padStart(12, "0")}`,
