--- /dev/null
+++ b/src/mesh/eventLog.ts
@@ -0,0 +1,106 @@
+/**
+ * Structured log of decisions and changes, one JSON object a line. Each kind of line has a rate limit; what is left
+ * out is counted and told with the next line of that kind. Lines are written in blocks without waiting, and dropped
+ * when the reader is too slow.
+ */
+import pino from "pino";
+import { steadyNow } from "./clock.ts";
+
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+export interface EventLogOptions {
+    /** Lines a second of one kind. */
+    readonly ratePerKind?: number;
+    /** Receives lines; standard output when left out. */
+    readonly write?: (line: string) => void;
+    /** Fields of every line. */
+    readonly base?: LogFields;
+}
+
+const DEFAULT_RATE = 20;
+/** Bytes gathered before a write, and held at most for a reader that does not keep up. */
+const BLOCK_BYTES = 4096;
+const MAX_HELD_BYTES = 512 * 1024;
+const FLUSH_MS = 1000;
+
+interface Bucket {
+    tokens: number;
+    refilledAt: number;
+    leftOut: number;
+}
+
+export class EventLog {
+    private readonly logger: pino.Logger;
+    private readonly buckets = new Map<string, Bucket>();
+    private readonly rate: number;
+    private droppedBytes = 0;
+    private readonly flushNow: () => void;
+
+    constructor(options: EventLogOptions = {}) {
+        this.rate = options.ratePerKind ?? DEFAULT_RATE;
+        const destination = options.write === undefined ? this.standardOutput() : { write: options.write };
+        this.flushNow = "flushSync" in destination ? () => destination.flushSync() : () => undefined;
+        this.logger = pino(
+            { base: options.base ?? {}, timestamp: pino.stdTimeFunctions.epochTime },
+            destination,
+        );
+    }
+
+    /** A decision or change of this kind; within its rate limit it becomes a line. */
+    event(kind: string, fields: LogFields): void {
+        const bucket = this.bucketOf(kind);
+        if (bucket.tokens < 1) {
+            bucket.leftOut++;
+            return;
+        }
+        bucket.tokens--;
+        const leftOut = bucket.leftOut === 0 ? undefined : bucket.leftOut;
+        bucket.leftOut = 0;
+        this.logger.info({ event: kind, ...fields, leftOut });
+    }
+
+    /** A line that the rate limit does not hold back: starts, stops, reloads, lost dependencies. */
+    change(kind: string, fields: LogFields): void {
+        this.logger.info({ event: kind, ...fields });
+    }
+
+    flush(): void {
+        try {
+            this.flushNow();
+        }
+        catch {
+            // The reader of the log is gone or does not read; a node ends without waiting for it.
+        }
+    }
+
+    private standardOutput(): ReturnType<typeof pino.destination> {
+        const destination = pino.destination({
+            dest: 1,
+            sync: false,
+            minLength: BLOCK_BYTES,
+            maxLength: MAX_HELD_BYTES,
+            periodicFlush: FLUSH_MS,
+        });
+        destination.on("drop", (data: string) => {
+            this.droppedBytes += data.length;
+        });
+        destination.on("error", () => undefined);
+        return destination;
+    }
+
+    get dropped(): number {
+        return this.droppedBytes;
+    }
+
+    private bucketOf(kind: string): Bucket {
+        const now = steadyNow();
+        let bucket = this.buckets.get(kind);
+        if (bucket === undefined) {
+            bucket = { tokens: this.rate, refilledAt: now, leftOut: 0 };
+            this.buckets.set(kind, bucket);
+        }
+        bucket.tokens = Math.min(this.rate, bucket.tokens + (now - bucket.refilledAt) * this.rate / 1000);
+        bucket.refilledAt = now;
+        return bucket;
+    }
+}
--- /dev/null
+++ b/src/mesh/forwarder.ts
@@ -0,0 +1,399 @@
+/**
+ * The caller's side: takes a request from a client or from the target beside this node, chooses a target, sends it
+ * again where that is allowed, and answers. Decisions are made in `policy/`; this module keeps the state of calls.
+ */
+import type { RequestHead } from "../http/heads.ts";
+import type { HttpAnswer, Reply } from "../http/leanServer.ts";
+import type { Message } from "../http/messageReader.ts";
+import { chooseTarget } from "../policy/balancer.ts";
+import { levelOf, MAX_LEVEL } from "../policy/level.ts";
+import { retryAfterMs } from "../policy/retryAfter.ts";
+import type { RetryBudget } from "../policy/retryBudget.ts";
+import { decideRetry } from "../policy/retryDecision.ts";
+import { findRoute, SplitChooser } from "../policy/routeTable.ts";
+import { steadyNow } from "./clock.ts";
+import type { Counters } from "./counters.ts";
+import type { Directory, KnownNode } from "./directory.ts";
+import type { EventLog } from "./eventLog.ts";
+import type { OnOutcome } from "./peerLink.ts";
+import type { Run, Runner } from "./runner.ts";
+import type {
+    FailureReason,
+    LoadReport,
+    MeshConfig,
+    Outcome,
+    RefusalReason,
+    Route,
+    RunRequest,
+} from "./types.ts";
+
+export interface ForwarderOptions {
+    readonly service: () => string;
+    readonly config: () => MeshConfig | undefined;
+    readonly directory: Directory;
+    readonly runner: Runner;
+    readonly budget: RetryBudget;
+    readonly counters: Counters;
+    readonly log: EventLog;
+    /** Sends to another node; returns a function that cancels. */
+    readonly sendTo: (node: KnownNode, req: RunRequest, onOutcome: OnOutcome) => () => void;
+    readonly onConfigVersion: (node: KnownNode, version: number) => void;
+    readonly rand?: () => number;
+}
+
+interface Call {
+    readonly req: Message<RequestHead>;
+    readonly route: Route;
+    readonly service: string;
+    readonly parent: Run | undefined;
+    readonly level: number;
+    readonly startedAt: number;
+    readonly endsAt: number;
+    readonly reply: Reply;
+    readonly tried: KnownNode[];
+    timer: NodeJS.Timeout | undefined;
+    sends: number;
+    redirects: number;
+    /** Whether some send may have run the request. */
+    mayHaveRun: boolean;
+    cancelSend: (() => void) | undefined;
+    isDone: boolean;
+}
+
+const DEFAULT_DEADLINE_MS = 30_000;
+const MAX_ID_BYTES = 255;
+/** Part of the latency objective that a request of a client may wait for a slot. */
+const ROOT_QUEUE_SHARE = 0.3;
+/** Calls of a run have cost capacity already and may wait longer. */
+const NESTED_QUEUE_SHARE = 0.6;
+const TIMER_GRAIN_MS = 4;
+const AVOID_AFTER_FAILURE_MS = 250;
+const EMPTY = Buffer.alloc(0);
+
+export class Forwarder {
+    private readonly splits = new SplitChooser();
+    private readonly rand: () => number;
+    private active = 0;
+
+    constructor(private readonly options: ForwarderOptions) {
+        this.rand = options.rand ?? Math.random;
+    }
+
+    get activeCount(): number {
+        return this.active;
+    }
+
+    onNewConfig(): void {
+        this.splits.reset();
+    }
+
+    /** Handles a request; the returned function ends it when its caller has left. */
+    handle(req: Message<RequestHead>, reply: Reply): (() => void) | undefined {
+        const cfg = this.options.config();
+        if (cfg === undefined) {
+            reply(this.refusal("no-config", DEFAULT_DEADLINE_MS));
+            return undefined;
+        }
+        const { head } = req;
+        if (head.requestId.length > MAX_ID_BYTES || head.requestId === "") {
+            reply(plain(400));
+            return undefined;
+        }
+        const route = findRoute(cfg, head.host, head.path);
+        if (route === undefined) {
+            reply(plain(404));
+            return undefined;
+        }
+        const call = this.open(req, route, reply);
+        return this.admit(call) ? () => this.onCallerGone(call) : undefined;
+    }
+
+    private open(req: Message<RequestHead>, route: Route, reply: Reply): Call {
+        const now = steadyNow();
+        const parent = this.parentOf(req.head.requestId);
+        const deadlineMs = Math.min(req.head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
+        this.options.counters.countRequest(route.name);
+        return {
+            req,
+            route,
+            service: this.splits.choose(route),
+            parent,
+            level: parent?.level ?? levelOf(route.priority, req.head.requestId),
+            startedAt: now,
+            endsAt: Math.min(now + deadlineMs, parent?.deadlineAt ?? Infinity),
+            reply,
+            tried: [],
+            timer: undefined,
+            sends: 0,
+            redirects: 0,
+            mayHaveRun: false,
+            cancelSend: undefined,
+            isDone: false,
+        };
+    }
+
+    /** The id of a call begins with that of the request whose run makes it; without that, it has no known parent. */
+    private parentOf(requestId: string): Run | undefined {
+        const dot = requestId.lastIndexOf(".");
+        return dot <= 0 ? undefined : this.options.runner.runOf(requestId.slice(0, dot));
+    }
+
+    /** Returns whether the call goes on. */
+    private admit(call: Call): boolean {
+        this.active++;
+        if (call.parent === undefined) {
+            this.options.budget.noteRequest(call.service, call.startedAt);
+            const cutoff = this.options.runner.cutoffs.cutoffOf(call.route.name, call.startedAt);
+            if (call.level > cutoff) {
+                this.refuse(call, "overload", cutoff);
+                return false;
+            }
+        }
+        const leftMs = Math.max(0, call.endsAt - call.startedAt);
+        // Timers of equal length share a list, so lengths are rounded.
+        call.timer = setTimeout(
+            () => this.onTimeout(call),
+            Math.ceil(leftMs / TIMER_GRAIN_MS) * TIMER_GRAIN_MS,
+        );
+        this.attempt(call);
+        return !call.isDone;
+    }
+
+    private attempt(call: Call, lastReason: RefusalReason = "no-target"): void {
+        const now = steadyNow();
+        const nodes = this.options.directory.ofService(call.service)
+            .filter(node => node.isUsable && !call.tried.includes(node));
+        const index = chooseTarget(nodes, now, this.rand);
+        if (index < 0) {
+            this.endWithout(call, lastReason);
+            return;
+        }
+        const node = nodes[index]!;
+        call.tried.push(node);
+        node.pending++;
+        let isOver = false;
+        const onOutcome: OnOutcome = (outcome, load) => {
+            if (isOver) return;
+            isOver = true;
+            node.pending--;
+            call.cancelSend = undefined;
+            this.learn(call, node, outcome, load);
+            if (!call.isDone) this.onOutcome(call, outcome);
+        };
+        const cancel = node.isLocalHost
+            ? this.runHere(call, now, onOutcome)
+            : this.options.sendTo(node, this.runRequest(call, now), onOutcome);
+        if (isOver) return;
+        call.cancelSend = () => {
+            if (isOver) return;
+            isOver = true;
+            node.pending--;
+            cancel();
+        };
+    }
+
+    private runHere(call: Call, now: number, onOutcome: OnOutcome): () => void {
+        const { runner } = this.options;
+        const run = runner.submit(
+            this.runRequest(call, now),
+            outcome => onOutcome(outcome, runner.loadFor(call.route.name, 0)),
+        );
+        return () => runner.cancel(run);
+    }
+
+    private runRequest(call: Call, now: number): RunRequest {
+        const { req, route } = call;
+        const leftMs = Math.max(0, call.endsAt - now);
+        return {
+            requestId: req.head.requestId,
+            service: call.service,
+            route: route.name,
+            callerService: this.options.service(),
+            method: req.head.method,
+            path: req.head.path,
+            headers: req.head.headers,
+            body: req.body,
+            isIdempotent: route.isIdempotent,
+            isNested: call.parent !== undefined,
+            level: call.level,
+            leftMs,
+            queueMs: call.parent === undefined
+                ? route.latencyObjectiveMs * ROOT_QUEUE_SHARE
+                : leftMs * NESTED_QUEUE_SHARE,
+        };
+    }
+
+    private learn(call: Call, node: KnownNode, outcome: Outcome, load: LoadReport | undefined): void {
+        const now = steadyNow();
+        if (load !== undefined) {
+            node.noteReport(load, now);
+            const { cutoffs } = this.options.runner;
+            cutoffs.learn(call.route.name, load.cutoff, now);
+            if (call.parent !== undefined) cutoffs.learn(call.parent.req.route, load.cutoff, now);
+            this.options.onConfigVersion(node, load.configVersion);
+        }
+        if (isTargetFault(outcome)) node.avoidUntil = now + AVOID_AFTER_FAILURE_MS;
+    }
+
+    private onOutcome(call: Call, outcome: Outcome): void {
+        const wasSeen = outcome.kind !== "not-run" || outcome.reason === "target-shed"
+            || outcome.reason === "wrong-service";
+        if (wasSeen) call.sends++;
+        else call.redirects++;
+        if (outcome.kind !== "not-run") call.mayHaveRun = true;
+        const now = steadyNow();
+        const decision = decideRetry({
+            outcome,
+            isIdempotent: call.route.isIdempotent,
+            sends: call.sends,
+            redirects: call.redirects,
+            maxAttempts: call.route.maxAttempts,
+            leftMs: call.endsAt - now,
+            isOverloaded: this.options.runner.cutoffs.cutoffOf(call.route.name, now) < MAX_LEVEL,
+        });
+        switch (decision.kind) {
+            case "stop":
+                this.end(call, outcome);
+                return;
+            case "redirect":
+                this.attempt(call, outcome.kind === "not-run" ? outcome.reason : undefined);
+                return;
+            case "repeat":
+                if (!this.mayRepeat(call) || !this.options.budget.take(call.service, decision.cost, now)) {
+                    this.end(call, outcome);
+                    return;
+                }
+                this.noteRepeat(call, outcome);
+                this.attemptOr(call, outcome);
+        }
+    }
+
+    /** Whether another target is there at all; asked before the budget is used. */
+    private mayRepeat(call: Call): boolean {
+        return this.options.directory.ofService(call.service)
+            .some(node => node.isUsable && !call.tried.includes(node));
+    }
+
+    private attemptOr(call: Call, outcome: Outcome): void {
+        this.attempt(call, outcome.kind === "not-run" ? outcome.reason : undefined);
+    }
+
+    private noteRepeat(call: Call, outcome: Outcome): void {
+        const reason = outcome.kind === "answer" ? "answer-5xx" : outcome.reason;
+        this.options.counters.countRepeat(reason);
+        this.options.log.event("repeated", {
+            id: call.req.head.requestId,
+            route: call.route.name,
+            service: call.service,
+            reason,
+            after: call.tried.at(-1)?.record.name,
+            sends: call.sends,
+            leftMs: Math.round(call.endsAt - steadyNow()),
+        });
+    }
+
+    private end(call: Call, outcome: Outcome): void {
+        switch (outcome.kind) {
+            case "answer":
+                this.finish(call, outcome);
+                return;
+            case "not-run":
+                this.endWithout(call, outcome.reason);
+                return;
+            case "unknown":
+                this.fail(call, outcome.reason);
+        }
+    }
+
+    /** Ends a call whose last send did not run; an earlier one may have. */
+    private endWithout(call: Call, reason: RefusalReason): void {
+        if (call.mayHaveRun) this.fail(call, "connection-lost");
+        else this.refuse(call, reason);
+    }
+
+    private refuse(call: Call, reason: RefusalReason, cutoff?: number): void {
+        const leftMs = Math.max(0, call.endsAt - steadyNow());
+        this.options.counters.countRefused(reason);
+        this.options.log.event("refused", {
+            id: call.req.head.requestId,
+            route: call.route.name,
+            service: call.service,
+            reason,
+            level: call.level,
+            cutoff,
+            sends: call.sends,
+            redirects: call.redirects,
+            last: call.tried.at(-1)?.record.name,
+            configVersion: this.options.config()?.version,
+            tookMs: Math.round(steadyNow() - call.startedAt),
+        });
+        this.finish(call, this.refusal(reason, leftMs));
+    }
+
+    private fail(call: Call, reason: FailureReason): void {
+        this.options.counters.countFailed(reason);
+        this.options.log.event("failed", {
+            id: call.req.head.requestId,
+            route: call.route.name,
+            service: call.service,
+            reason,
+            level: call.level,
+            sends: call.sends,
+            last: call.tried.at(-1)?.record.name,
+            configVersion: this.options.config()?.version,
+            tookMs: Math.round(steadyNow() - call.startedAt),
+        });
+        this.finish(call, plain(reason === "timeout" ? 504 : 502));
+    }
+
+    private refusal(reason: RefusalReason, leftMs: number): HttpAnswer {
+        const seconds = (retryAfterMs(reason, leftMs, this.rand) / 1000).toFixed(3);
+        return {
+            status: 503,
+            headers: `Retry-After: ${seconds}\r\nX-Refusal-Reason: ${reason}\r\n`,
+            body: EMPTY,
+        };
+    }
+
+    private onTimeout(call: Call): void {
+        if (call.isDone) return;
+        call.timer = undefined;
+        call.cancelSend?.();
+        this.fail(call, "timeout");
+    }
+
+    private onCallerGone(call: Call): void {
+        if (call.isDone) return;
+        this.options.counters.countFailed("caller-gone");
+        call.cancelSend?.();
+        this.close(call);
+    }
+
+    private finish(call: Call, answer: HttpAnswer): void {
+        this.close(call);
+        call.reply(answer);
+    }
+
+    private close(call: Call): void {
+        call.isDone = true;
+        this.active--;
+        if (call.timer !== undefined) clearTimeout(call.timer);
+    }
+}
+
+function isTargetFault(outcome: Outcome): boolean {
+    switch (outcome.kind) {
+        case "answer":
+            return false;
+        case "unknown":
+            return outcome.reason === "link-lost" || outcome.reason === "connection-lost";
+        case "not-run":
+            return outcome.reason !== "overload" && outcome.reason !== "queue-timeout"
+                && outcome.reason !== "deadline"
+                && outcome.reason !== "target-shed";
+    }
+}
+
+function plain(status: number): HttpAnswer {
+    return { status, headers: "", body: EMPTY };
+}
--- /dev/null
+++ b/src/mesh/frameSocket.ts
@@ -0,0 +1,149 @@
+/**
+ * One connection between two nodes. Frames written in the same turn of the event loop leave in one system call.
+ * A connection on which something is expected and nothing arrives is probed, and closed if it stays silent.
+ */
+import { JSONRPCClient, JSONRPCServerAndClient } from "json-rpc-2.0";
+import type { JSONRPCServer } from "json-rpc-2.0";
+import type net from "node:net";
+import { steadyNow } from "./clock.ts";
+import { encodeRpc, encodeSignal, FrameError, FrameReader } from "./frames.ts";
+import type { Frame } from "./frames.ts";
+
+export type DataFrame = Exclude<Frame, { type: "ping" | "pong" | "rpc"; }>;
+
+export interface FrameSocketOptions {
+    readonly socket: net.Socket;
+    readonly rpcServer: JSONRPCServer;
+    readonly onFrame: (frame: DataFrame) => void;
+    readonly onClose: () => void;
+    /** Silence, in ms, after which a connection with something pending is probed. */
+    readonly probeAfterMs?: number;
+    /** Time that a probe may stay without any bytes. */
+    readonly probeTimeoutMs?: number;
+}
+
+const PROBE_AFTER_MS = 300;
+const PROBE_TIMEOUT_MS = 700;
+/** An idle connection is probed this often, so that a request does not have to find out that it is dead. */
+const IDLE_PROBE_MS = 4000;
+/** Unsent bytes from which a peer counts as not reading. */
+const MAX_UNSENT_BYTES = 32 * 1024 * 1024;
+const RPC_TIMEOUT_MS = 2000;
+
+export class FrameSocket {
+    readonly rpc: JSONRPCServerAndClient;
+    private readonly socket: net.Socket;
+    private readonly reader = new FrameReader();
+    private out: Buffer[] = [];
+    private isFlushPlanned = false;
+    private lastReadAt = steadyNow();
+    private probedAt: number | undefined;
+    private isClosed = false;
+
+    constructor(private readonly options: FrameSocketOptions) {
+        const { socket } = options;
+        this.socket = socket;
+        const client = new JSONRPCClient(message => this.write(encodeRpc(JSON.stringify(message))));
+        this.rpc = new JSONRPCServerAndClient(options.rpcServer, client);
+        socket.setNoDelay(true);
+        socket.on("data", chunk => this.onData(chunk));
+        socket.on("error", () => socket.destroy());
+        socket.on("close", () => this.onClose());
+    }
+
+    get isWritable(): boolean {
+        return !this.isClosed && this.socket.writableLength < MAX_UNSENT_BYTES;
+    }
+
+    notify(method: string, params: unknown): void {
+        if (!this.isClosed) this.rpc.notify(method, params);
+    }
+
+    request(method: string, params: unknown): PromiseLike<unknown> {
+        return this.rpc.timeout(RPC_TIMEOUT_MS).request(method, params);
+    }
+
+    write(frame: Buffer): void {
+        if (this.isClosed) return;
+        this.out.push(frame);
+        if (this.isFlushPlanned) return;
+        this.isFlushPlanned = true;
+        setImmediate(() => this.flush());
+    }
+
+    /** Called every 100 ms. */
+    tick(now: number, isExpecting: boolean): void {
+        const probeAfterMs = isExpecting ? this.options.probeAfterMs ?? PROBE_AFTER_MS : IDLE_PROBE_MS;
+        if (this.probedAt === undefined) {
+            if (now - this.lastReadAt < probeAfterMs) return;
+            this.probedAt = now;
+            this.write(encodeSignal("ping", 0));
+        }
+        else if (now - this.probedAt > (this.options.probeTimeoutMs ?? PROBE_TIMEOUT_MS)) this.destroy();
+    }
+
+    destroy(): void {
+        this.socket.destroy();
+    }
+
+    private flush(): void {
+        this.isFlushPlanned = false;
+        if (this.isClosed) return;
+        const { out } = this;
+        this.out = [];
+        this.socket.write(out.length === 1 ? out[0]! : Buffer.concat(out));
+    }
+
+    private onData(chunk: Buffer): void {
+        this.lastReadAt = steadyNow();
+        this.probedAt = undefined;
+        this.reader.feed(chunk);
+        try {
+            for (let frame = this.reader.next(); frame !== undefined; frame = this.reader.next()) {
+                this.take(frame);
+            }
+        }
+        catch (err) {
+            if (!(err instanceof FrameError)) throw err;
+            this.destroy();
+        }
+    }
+
+    private take(frame: Frame): void {
+        switch (frame.type) {
+            case "ping":
+                this.write(encodeSignal("pong", frame.stream));
+                return;
+            case "pong":
+                return;
+            case "rpc":
+                this.receiveRpc(frame.message);
+                return;
+            case "request":
+            case "response":
+            case "cancel":
+                this.options.onFrame(frame);
+        }
+    }
+
+    private receiveRpc(message: string): void {
+        let payload: unknown;
+        try {
+            payload = JSON.parse(message);
+        }
+        catch {
+            this.destroy();
+            return;
+        }
+        this.rpc.receiveAndSend(payload as Parameters<JSONRPCServerAndClient["receiveAndSend"]>[0]).catch(
+            () => this.destroy(),
+        );
+    }
+
+    private onClose(): void {
+        if (this.isClosed) return;
+        this.isClosed = true;
+        this.rpc.rejectAllPendingRequests("connection closed");
+        this.options.onClose();
+    }
+}
--- /dev/null
+++ b/src/mesh/frames.ts
@@ -0,0 +1,307 @@
+/**
+ * Frames on a connection between two nodes. Many requests share one connection, each under a number of its own.
+ * A frame is its length without itself (4 bytes), its type (1), the number of the request (4), and fields in a fixed
+ * order. Texts are latin1 with their length before them. Control messages are JSON-RPC 2.0.
+ */
+import type { FailureReason, LoadReport, Outcome, RefusalReason, RunRequest } from "./types.ts";
+
+export type Frame =
+    | { readonly type: "request"; readonly stream: number; readonly request: RunRequest; }
+    | {
+        readonly type: "response";
+        readonly stream: number;
+        readonly outcome: Outcome;
+        readonly load: LoadReport;
+    }
+    | { readonly type: "cancel"; readonly stream: number; }
+    | { readonly type: "ping"; readonly stream: number; }
+    | { readonly type: "pong"; readonly stream: number; }
+    | { readonly type: "rpc"; readonly message: string; };
+
+export class FrameError extends Error {
+    constructor(message: string) {
+        super(message);
+        this.name = "FrameError";
+    }
+}
+
+const REQUEST = 1;
+const RESPONSE = 2;
+const CANCEL = 3;
+const PING = 4;
+const PONG = 5;
+const RPC = 6;
+
+const ANSWER = 0;
+const NOT_RUN = 1;
+const UNKNOWN = 2;
+
+const IDEMPOTENT_FLAG = 1;
+const NESTED_FLAG = 2;
+
+const LENGTH_BYTES = 4;
+const HEADER_BYTES = 9;
+/** Above the largest body that a configuration may allow, with its head. */
+const MAX_FRAME_BYTES = 80 * 1024 * 1024;
+
+const REFUSALS: readonly RefusalReason[] = [
+    "no-config",
+    "no-target",
+    "draining",
+    "target-down",
+    "wrong-service",
+    "overload",
+    "queue-timeout",
+    "target-shed",
+    "link-down",
+    "stopping",
+    "crashes-targets",
+    "memory",
+    "deadline",
+];
+const FAILURES: readonly FailureReason[] = [
+    "link-lost",
+    "connection-lost",
+    "bad-answer",
+    "timeout",
+    "caller-gone",
+    "stopping",
+];
+
+export function encodeRequest(stream: number, req: RunRequest): Buffer {
+    const bytes = HEADER_BYTES + 13 + 6 + req.requestId.length + req.service.length + req.route.length
+        + req.callerService.length + req.method.length + 1 + 8 + req.path.length + req.headers.length
+        + req.body.length;
+    const buf = Buffer.allocUnsafe(bytes);
+    let at = header(buf, REQUEST, stream);
+    buf[at] = (req.isIdempotent ? IDEMPOTENT_FLAG : 0) | (req.isNested ? NESTED_FLAG : 0);
+    at = buf.writeUInt32BE(req.level, at + 1);
+    at = buf.writeUInt32BE(toUInt32(req.leftMs), at);
+    at = buf.writeUInt32BE(toUInt32(req.queueMs), at);
+    at = short(buf, at, req.requestId);
+    at = short(buf, at, req.service);
+    at = short(buf, at, req.route);
+    at = short(buf, at, req.callerService);
+    at = short(buf, at, req.method);
+    at = long(buf, at, req.path);
+    at = long(buf, at, req.headers);
+    req.body.copy(buf, at);
+    return finish(buf, at + req.body.length);
+}
+
+export function encodeResponse(stream: number, outcome: Outcome, load: LoadReport): Buffer {
+    const extra = outcome.kind === "answer" ? 6 + outcome.headers.length + outcome.body.length : 1;
+    const buf = Buffer.allocUnsafe(HEADER_BYTES + 19 + extra);
+    let at = header(buf, RESPONSE, stream);
+    at = buf.writeUInt16BE(load.cutoff, at);
+    at = buf.writeUInt16BE(Math.min(load.running, 0xffff), at);
+    at = buf.writeUInt16BE(Math.min(load.queued, 0xffff), at);
+    at = buf.writeUInt16BE(Math.min(load.limit, 0xffff), at);
+    at = buf.writeUInt32BE(toUInt32(load.serviceMs * 100), at);
+    at = buf.writeUInt32BE(load.configVersion, at);
+    switch (outcome.kind) {
+        case "answer":
+            buf[at] = ANSWER;
+            at = buf.writeUInt16BE(outcome.status, at + 1);
+            at = long(buf, at, outcome.headers);
+            outcome.body.copy(buf, at);
+            return finish(buf, at + outcome.body.length);
+        case "not-run":
+            buf[at] = NOT_RUN;
+            buf[at + 1] = REFUSALS.indexOf(outcome.reason);
+            return finish(buf, at + 2);
+        case "unknown":
+            buf[at] = UNKNOWN;
+            buf[at + 1] = FAILURES.indexOf(outcome.reason);
+            return finish(buf, at + 2);
+    }
+}
+
+export function encodeSignal(type: "cancel" | "ping" | "pong", stream: number): Buffer {
+    const buf = Buffer.allocUnsafe(HEADER_BYTES);
+    return finish(buf, header(buf, type === "cancel" ? CANCEL : type === "ping" ? PING : PONG, stream));
+}
+
+export function encodeRpc(message: string): Buffer {
+    const text = Buffer.from(message, "utf8");
+    const buf = Buffer.allocUnsafe(HEADER_BYTES + text.length);
+    text.copy(buf, header(buf, RPC, 0));
+    return finish(buf, buf.length);
+}
+
+/** Splits the bytes of a connection into frames. */
+export class FrameReader {
+    private buffer: Buffer | undefined;
+    private chunks: Buffer[] = [];
+    private chunkBytes = 0;
+    private wanted = LENGTH_BYTES;
+
+    feed(chunk: Buffer): void {
+        this.chunks.push(chunk);
+        this.chunkBytes += chunk.length;
+    }
+
+    /** The next frame, or `undefined` until more bytes arrive. Throws `FrameError`. */
+    next(): Frame | undefined {
+        if (this.buffer === undefined || this.buffer.length < this.wanted) {
+            const have = this.buffer?.length ?? 0;
+            if (have + this.chunkBytes < this.wanted) return undefined;
+            this.join();
+        }
+        const buf = this.buffer!;
+        const length = buf.readUInt32BE(0);
+        if (length < HEADER_BYTES - LENGTH_BYTES || length > MAX_FRAME_BYTES) {
+            throw new FrameError("bad frame length");
+        }
+        this.wanted = LENGTH_BYTES + length;
+        if (buf.length < this.wanted) return this.chunkBytes > 0 ? this.next() : undefined;
+        const frame = decode(buf.subarray(0, this.wanted));
+        this.buffer = buf.length === this.wanted ? undefined : buf.subarray(this.wanted);
+        this.wanted = LENGTH_BYTES;
+        return frame;
+    }
+
+    private join(): void {
+        const parts = this.buffer === undefined ? this.chunks : [this.buffer, ...this.chunks];
+        this.buffer = parts.length === 1 ? parts[0]! : Buffer.concat(parts);
+        this.chunks = [];
+        this.chunkBytes = 0;
+    }
+}
+
+function decode(buf: Buffer): Frame {
+    const stream = buf.readUInt32BE(5);
+    switch (buf[4]) {
+        case REQUEST:
+            return { type: "request", stream, request: decodeRequest(buf) };
+        case RESPONSE:
+            return decodeResponse(buf, stream);
+        case CANCEL:
+            return { type: "cancel", stream };
+        case PING:
+            return { type: "ping", stream };
+        case PONG:
+            return { type: "pong", stream };
+        case RPC:
+            return { type: "rpc", message: buf.toString("utf8", HEADER_BYTES, buf.length) };
+        default:
+            throw new FrameError("unknown frame type");
+    }
+}
+
+function decodeRequest(buf: Buffer): RunRequest {
+    const fields = new FieldReader(buf, HEADER_BYTES);
+    const flags = fields.byte();
+    return {
+        isIdempotent: (flags & IDEMPOTENT_FLAG) !== 0,
+        isNested: (flags & NESTED_FLAG) !== 0,
+        level: fields.uint32(),
+        leftMs: fields.uint32(),
+        queueMs: fields.uint32(),
+        requestId: fields.short(),
+        service: fields.short(),
+        route: fields.short(),
+        callerService: fields.short(),
+        method: fields.short(),
+        path: fields.long(),
+        headers: fields.long(),
+        body: fields.rest(),
+    };
+}
+
+function decodeResponse(buf: Buffer, stream: number): Frame {
+    const fields = new FieldReader(buf, HEADER_BYTES);
+    const load = {
+        cutoff: fields.uint16(),
+        running: fields.uint16(),
+        queued: fields.uint16(),
+        limit: fields.uint16(),
+        serviceMs: fields.uint32() / 100,
+        configVersion: fields.uint32(),
+    };
+    return { type: "response", stream, load, outcome: decodeOutcome(fields) };
+}
+
+function decodeOutcome(fields: FieldReader): Outcome {
+    switch (fields.byte()) {
+        case ANSWER:
+            return { kind: "answer", status: fields.uint16(), headers: fields.long(), body: fields.rest() };
+        case NOT_RUN: {
+            const reason = REFUSALS[fields.byte()];
+            if (reason === undefined) throw new FrameError("unknown refusal");
+            return { kind: "not-run", reason };
+        }
+        case UNKNOWN: {
+            const reason = FAILURES[fields.byte()];
+            if (reason === undefined) throw new FrameError("unknown failure");
+            return { kind: "unknown", reason };
+        }
+        default:
+            throw new FrameError("unknown outcome");
+    }
+}
+
+class FieldReader {
+    constructor(private readonly buf: Buffer, private at: number) {}
+
+    byte(): number {
+        return this.buf.readUInt8(this.move(1));
+    }
+
+    uint16(): number {
+        return this.buf.readUInt16BE(this.move(2));
+    }
+
+    uint32(): number {
+        return this.buf.readUInt32BE(this.move(4));
+    }
+
+    short(): string {
+        return this.text(this.byte());
+    }
+
+    long(): string {
+        return this.text(this.uint32());
+    }
+
+    rest(): Buffer {
+        return this.buf.subarray(this.at);
+    }
+
+    private text(length: number): string {
+        const from = this.move(length);
+        return this.buf.toString("latin1", from, from + length);
+    }
+
+    private move(bytes: number): number {
+        const from = this.at;
+        this.at += bytes;
+        if (this.at > this.buf.length) throw new FrameError("frame too short");
+        return from;
+    }
+}
+
+function header(buf: Buffer, type: number, stream: number): number {
+    buf[4] = type;
+    return buf.writeUInt32BE(stream, 5);
+}
+
+function finish(buf: Buffer, end: number): Buffer {
+    buf.writeUInt32BE(end - LENGTH_BYTES, 0);
+    return end === buf.length ? buf : buf.subarray(0, end);
+}
+
+/** Texts of up to 255 bytes; longer ones are refused before they get here. */
+function short(buf: Buffer, at: number, text: string): number {
+    buf[at] = text.length;
+    return at + 1 + buf.write(text, at + 1, "latin1");
+}
+
+function long(buf: Buffer, at: number, text: string): number {
+    buf.writeUInt32BE(text.length, at);
+    return at + 4 + buf.write(text, at + 4, "latin1");
+}
+
+function toUInt32(value: number): number {
+    return Math.max(0, Math.min(0xffffffff, Math.round(value)));
+}
--- /dev/null
+++ b/src/mesh/peerServer.ts
@@ -0,0 +1,108 @@
+/** The listener for other nodes: hands their requests to the runner and sends the outcomes back. */
+import type { JSONRPCServer } from "json-rpc-2.0";
+import net from "node:net";
+import { encodeResponse } from "./frames.ts";
+import { FrameSocket } from "./frameSocket.ts";
+import type { DataFrame } from "./frameSocket.ts";
+import type { Run, Runner } from "./runner.ts";
+import type { Outcome, RunRequest } from "./types.ts";
+
+export interface PeerServerOptions {
+    readonly host: string;
+    readonly port: number;
+    readonly runner: Runner;
+    readonly configVersion: () => number;
+    /** A reason to run nothing at present. */
+    readonly isStopping: () => boolean;
+    /** Makes the JSON-RPC server of a connection; `frames` is there to answer on. */
+    readonly rpcServer: JSONRPCServer;
+    readonly onUp: (frames: FrameSocket) => void;
+}
+
+class PeerConnection {
+    readonly frames: FrameSocket;
+    private readonly runs = new Map<number, Run>();
+
+    constructor(socket: net.Socket, private readonly options: PeerServerOptions, onClose: () => void) {
+        this.frames = new FrameSocket({
+            socket,
+            rpcServer: options.rpcServer,
+            onFrame: frame => this.onFrame(frame),
+            onClose: () => {
+                for (const run of this.runs.values()) options.runner.cancel(run);
+                this.runs.clear();
+                onClose();
+            },
+        });
+    }
+
+    private onFrame(frame: DataFrame): void {
+        switch (frame.type) {
+            case "request":
+                this.run(frame.stream, frame.request);
+                return;
+            case "cancel":
+                this.cancel(frame.stream);
+                return;
+            case "response":
+        }
+    }
+
+    private run(stream: number, req: RunRequest): void {
+        let isOver = false;
+        const reply = (outcome: Outcome) => {
+            isOver = true;
+            this.runs.delete(stream);
+            const { runner, configVersion } = this.options;
+            this.frames.write(encodeResponse(stream, outcome, runner.loadFor(req.route, configVersion())));
+        };
+        if (this.options.isStopping()) {
+            reply({ kind: "not-run", reason: "stopping" });
+            return;
+        }
+        const run = this.options.runner.submit(req, reply);
+        if (!isOver) this.runs.set(stream, run);
+    }
+
+    private cancel(stream: number): void {
+        const run = this.runs.get(stream);
+        if (run === undefined) return;
+        this.runs.delete(stream);
+        this.options.runner.cancel(run);
+    }
+}
+
+export class PeerServer {
+    private readonly server: net.Server;
+    private readonly connections = new Set<PeerConnection>();
+
+    constructor(private readonly options: PeerServerOptions) {
+        this.server = net.createServer(socket => this.accept(socket));
+    }
+
+    async listen(): Promise<void> {
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen({ host: this.options.host, port: this.options.port, backlog: 1024 }, resolve);
+        });
+    }
+
+    notifyAll(method: string, params: unknown): void {
+        for (const conn of this.connections) conn.frames.notify(method, params);
+    }
+
+    tick(now: number): void {
+        for (const conn of this.connections) conn.frames.tick(now, false);
+    }
+
+    close(): void {
+        this.server.close();
+        for (const conn of this.connections) conn.frames.destroy();
+    }
+
+    private accept(socket: net.Socket): void {
+        const conn = new PeerConnection(socket, this.options, () => this.connections.delete(conn));
+        this.connections.add(conn);
+        this.options.onUp(conn.frames);
+    }
+}
--- /dev/null
+++ b/src/mesh/runner.ts
@@ -0,0 +1,314 @@
+/**
+ * The side beside the target: admits requests, lets them wait for a slot, sends them and tells what became of them.
+ * All requests of a target pass here, so its use of slots is known exactly and the target itself never has to shed.
+ */
+import { Cutoff } from "../policy/cutoff.ts";
+import { RouteCutoffs } from "../policy/routeCutoff.ts";
+import { PriorityQueue } from "../policy/runQueue.ts";
+import type { Waiting } from "../policy/runQueue.ts";
+import { steadyNow } from "./clock.ts";
+import type { Counters } from "./counters.ts";
+import { TargetPool } from "./targetPool.ts";
+import type { Reply } from "./targetPool.ts";
+import type { FailureReason, LoadReport, Outcome, RefusalReason, RunRequest, TargetRecord } from "./types.ts";
+
+export interface Run extends Waiting {
+    readonly req: RunRequest;
+    readonly arrivedAt: number;
+    readonly deadlineAt: number;
+    readonly onDone: (outcome: Outcome) => void;
+    startedAt: number;
+    breakOff: (() => void) | undefined;
+    isDone: boolean;
+}
+
+export interface RunnerOptions {
+    readonly host: string;
+    readonly port: number;
+    readonly counters: Counters;
+}
+
+/** Part of the announced slots that is used: targets slow down when they are full, and probes need a slot too. */
+const SLOT_SHARE = 0.95;
+const SERVICE_TIME_SMOOTHING = 0.05;
+/** How long a target that refuses connections is left alone; a heartbeat ends it. */
+const DOWN_MS = 300;
+/** A target that answers nothing for this long, and for several service times, is taken as silent. */
+const SILENT_MS = 700;
+const SILENT_SERVICE_TIMES = 6;
+const TRIAL_EVERY_MS = 300;
+/** How long after its deadline a run without an answer is given up. */
+const OVERDUE_MS = 400;
+/** The target gets slightly less time than is left, so that its own timeout answer still arrives in time. */
+const DEADLINE_MARGIN_MS = 12;
+
+export class Runner {
+    readonly cutoffs = new RouteCutoffs();
+    private readonly cutoff = new Cutoff();
+    private readonly queue = new PriorityQueue<Run>();
+    private readonly running = new Map<string, Run>();
+    private readonly pool: TargetPool;
+    private readonly counters: Counters;
+    private target: TargetRecord | undefined;
+    private inUse = 0;
+    private serviceMs = 0;
+    private downUntil = 0;
+    private lastProgressAt = 0;
+    private lastTrialAt = 0;
+    private sweepTimer: NodeJS.Timeout | undefined;
+
+    constructor(private readonly options: RunnerOptions) {
+        this.pool = new TargetPool(options.host, options.port);
+        this.counters = options.counters;
+    }
+
+    get limit(): number {
+        return this.target === undefined ? 0 : Math.max(1, Math.floor(this.target.slots * SLOT_SHARE));
+    }
+
+    get activeCount(): number {
+        return this.inUse + this.queue.length;
+    }
+
+    /** A run that is at the target, by the id of its request. */
+    runOf(requestId: string): Run | undefined {
+        return this.running.get(requestId);
+    }
+
+    loadFor(route: string, configVersion: number): LoadReport {
+        return {
+            cutoff: Math.min(this.cutoff.value, this.cutoffs.cutoffOf(route, steadyNow())),
+            running: this.inUse,
+            queued: this.queue.length,
+            limit: this.limit,
+            serviceMs: this.serviceMs,
+            configVersion,
+        };
+    }
+
+    /** A heartbeat of the target: it is reachable and says what it is. */
+    setTarget(target: TargetRecord | undefined): void {
+        const isOther = target?.id !== this.target?.id;
+        this.target = target;
+        if (isOther) this.startAnew();
+        this.downUntil = 0;
+        if (target === undefined || target.state !== "ready") this.refuseQueued("draining");
+        this.startQueued();
+    }
+
+    submit(req: RunRequest, onDone: (outcome: Outcome) => void): Run {
+        const now = steadyNow();
+        const run: Run = {
+            req,
+            level: req.level,
+            arrivedAt: now,
+            deadlineAt: now + req.leftMs,
+            waitUntil: now + Math.min(req.queueMs, req.leftMs),
+            onDone,
+            startedAt: 0,
+            breakOff: undefined,
+            isDone: false,
+        };
+        const refusal = this.refusalOf(run, now);
+        if (refusal !== undefined) this.refuse(run, refusal);
+        else if (this.inUse < this.limit && this.queue.length === 0) this.start(run, now);
+        else this.enqueue(run, now);
+        return run;
+    }
+
+    /** The caller no longer waits. A request that must not be repeated is left to end at the target. */
+    cancel(run: Run): void {
+        if (run.isDone) return;
+        if (run.startedAt === 0) {
+            this.queue.remove(run);
+            run.isDone = true;
+            return;
+        }
+        if (!run.req.isIdempotent) return;
+        run.breakOff?.();
+        this.end(run);
+    }
+
+    /** Called every 100 ms. */
+    tick(now: number): void {
+        const limit = Math.max(1, this.limit);
+        this.cutoff.tick(now, this.inUse / limit, this.queue.length / limit);
+        this.pool.closeStale(now);
+        this.giveUpOverdue(now);
+        this.giveUpSilent(now);
+    }
+
+    close(): void {
+        this.pool.closeIdle();
+        if (this.sweepTimer !== undefined) clearInterval(this.sweepTimer);
+    }
+
+    private startAnew(): void {
+        this.serviceMs = 0;
+        this.lastProgressAt = steadyNow();
+        this.pool.closeIdle();
+    }
+
+    private refusalOf(run: Run, now: number): RefusalReason | undefined {
+        const { target } = this;
+        if (target === undefined || target.state === "gone") return "no-target";
+        if (target.state === "draining") return "draining";
+        if (target.service !== run.req.service) return "wrong-service";
+        if (now < this.downUntil || this.isSilentFor(now)) return "target-down";
+        if (run.req.leftMs <= DEADLINE_MARGIN_MS) return "deadline";
+        if (!run.req.isNested && !this.cutoff.isAdmitted(run.level)) return "overload";
+        return undefined;
+    }
+
+    private enqueue(run: Run, now: number): void {
+        const ahead = this.queue.countAhead(run.level);
+        const expectedWaitMs = (ahead + 1) * this.serviceMs / Math.max(1, this.limit);
+        if (now + expectedWaitMs > run.waitUntil) {
+            this.cutoff.noteLost();
+            this.refuse(run, "overload");
+            return;
+        }
+        this.queue.push(run);
+        this.sweepTimer ??= setInterval(() => this.sweep(), 20);
+    }
+
+    private sweep(): void {
+        for (const run of this.queue.takeExpired(steadyNow())) this.expire(run);
+        if (this.queue.length > 0 || this.sweepTimer === undefined) return;
+        clearInterval(this.sweepTimer);
+        this.sweepTimer = undefined;
+    }
+
+    private expire(run: Run): void {
+        this.cutoff.noteLost();
+        this.refuse(run, "queue-timeout");
+    }
+
+    private refuse(run: Run, reason: RefusalReason): void {
+        run.isDone = true;
+        this.counters.countRunRefused(reason);
+        run.onDone({ kind: "not-run", reason });
+    }
+
+    private refuseQueued(reason: RefusalReason): void {
+        for (const run of this.queue.takeAll()) this.refuse(run, reason);
+    }
+
+    private startQueued(): void {
+        const now = steadyNow();
+        while (this.inUse < this.limit && this.queue.length > 0) {
+            const run = this.queue.shift(now, expired => this.expire(expired));
+            if (run !== undefined) this.start(run, now);
+        }
+    }
+
+    private start(run: Run, now: number): void {
+        const target = this.target!;
+        if (this.inUse === 0) this.lastProgressAt = now;
+        this.inUse++;
+        this.cutoff.noteArrival(run.level);
+        this.cutoff.noteStart(now - run.arrivedAt);
+        run.startedAt = now;
+        this.running.set(run.req.requestId, run);
+        run.breakOff = this.pool.send({
+            requestId: run.req.requestId,
+            method: run.req.method,
+            isIdempotent: run.req.isIdempotent,
+            bytes: encodeForTarget(run, target.id, now),
+            onReply: reply => this.onReply(run, reply),
+        });
+    }
+
+    private onReply(run: Run, reply: Reply): void {
+        if (run.isDone) return;
+        const now = steadyNow();
+        if (reply.kind === "response") this.noteProgress(run, now);
+        if (reply.kind === "unreachable") {
+            this.downUntil = now + DOWN_MS;
+            this.finish(run, { kind: "not-run", reason: "target-down" });
+            this.refuseQueued("target-down");
+            return;
+        }
+        this.finish(run, outcomeOf(reply, run.req.isIdempotent));
+    }
+
+    private noteProgress(run: Run, now: number): void {
+        this.lastProgressAt = now;
+        const took = now - run.startedAt;
+        this.serviceMs = this.serviceMs === 0
+            ? took
+            : this.serviceMs + SERVICE_TIME_SMOOTHING * (took - this.serviceMs);
+    }
+
+    private finish(run: Run, outcome: Outcome): void {
+        this.end(run);
+        run.onDone(outcome);
+    }
+
+    private end(run: Run): void {
+        if (run.isDone) return;
+        run.isDone = true;
+        this.inUse--;
+        if (this.running.get(run.req.requestId) === run) this.running.delete(run.req.requestId);
+        if (this.queue.length > 0) this.startQueued();
+    }
+
+    private giveUpOverdue(now: number): void {
+        for (const run of this.running.values()) {
+            if (now > run.deadlineAt + OVERDUE_MS) this.giveUp(run, "timeout");
+        }
+    }
+
+    private giveUp(run: Run, reason: FailureReason): void {
+        run.breakOff?.();
+        this.finish(run, { kind: "unknown", reason });
+    }
+
+    /** Whether the target has stopped answering; now and then one request may try. */
+    private isSilentFor(now: number): boolean {
+        if (!this.isSilent(now)) return false;
+        if (now - this.lastTrialAt < TRIAL_EVERY_MS) return true;
+        this.lastTrialAt = now;
+        return false;
+    }
+
+    private isSilent(now: number): boolean {
+        if (this.inUse === 0) return false;
+        return now - this.lastProgressAt > Math.max(SILENT_MS, SILENT_SERVICE_TIMES * this.serviceMs);
+    }
+
+    private giveUpSilent(now: number): void {
+        if (!this.isSilent(now)) return;
+        this.refuseQueued("target-down");
+        for (const run of this.running.values()) {
+            if (run.req.isIdempotent && now - run.startedAt > SILENT_MS) this.giveUp(run, "connection-lost");
+        }
+    }
+}
+
+function outcomeOf(reply: Exclude<Reply, { kind: "unreachable"; }>, isIdempotent: boolean): Outcome {
+    if (reply.kind === "lost") return { kind: "unknown", reason: reply.reason };
+    const { head, body } = reply;
+    if (head.status === 421) return { kind: "not-run", reason: "wrong-service" };
+    if (head.notExecuted) return { kind: "not-run", reason: "target-shed" };
+    if (head.status < 300 && !head.hasSeal) return { kind: "unknown", reason: "bad-answer" };
+    const claimsNotRun = head.status === 429 || head.status === 503 || head.status === 408;
+    if (claimsNotRun && !isIdempotent && !head.hasSeal) return { kind: "unknown", reason: "bad-answer" };
+    return { kind: "answer", status: head.status, headers: head.headers, body };
+}
+
+function encodeForTarget(run: Run, targetId: string, now: number): Buffer {
+    const { req } = run;
+    const leftMs = Math.max(1, Math.floor(run.deadlineAt - now - DEADLINE_MARGIN_MS));
+    const length =
+        req.body.length > 0 || req.method === "POST" || req.method === "PUT" || req.method === "PATCH"
+            ? `Content-Length: ${req.body.length}\r\n`
+            : "";
+    const head = `${req.method} ${req.path} HTTP/1.1\r\n${req.headers}X-Request-Deadline-Ms: ${leftMs}\r\n`
+        + `X-Target-Instance: ${targetId}\r\nX-Caller-Service: ${req.callerService}\r\n${length}\r\n`;
+    if (req.body.length === 0) return Buffer.from(head, "latin1");
+    const buf = Buffer.allocUnsafe(head.length + req.body.length);
+    buf.write(head, 0, "latin1");
+    req.body.copy(buf, head.length);
+    return buf;
+}
