--- /dev/null
+++ b/test/support/fixedPorts.ts
@@ -0,0 +1,26 @@
+/**
+ * Ports for listeners that are opened again during a test. They lie below the range from which the kernel takes the
+ * ports of outgoing connections, which could otherwise take one while its listener is away.
+ */
+import { createServer } from "node:net";
+
+const FIRST_PORT = 12_000;
+const PORT_COUNT = 18_000;
+
+let next = process.pid * 97 % PORT_COUNT;
+
+export async function fixedPort(): Promise<number> {
+    for (;;) {
+        const port = FIRST_PORT + next;
+        next = (next + 1) % PORT_COUNT;
+        if (await isFree(port)) return port;
+    }
+}
+
+function isFree(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const server = createServer();
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+    });
+}
--- a/test/support/platformMesh.ts
+++ b/test/support/platformMesh.ts
@@ -2,7 +2,7 @@
 import { PlatformNode } from "../../platform/platformNode.ts";
 import type { PlatformSettings } from "../../platform/settings.ts";
 import { EventLog } from "../../src/mesh/eventLog.ts";
-import { freePort } from "./processes.ts";
+import { fixedPort } from "./fixedPorts.ts";
 import { sendRequest, StandinApp } from "./standinApp.ts";
 import type { ReceivedAnswer, SendOptions } from "./standinApp.ts";
 import { StandinStore } from "./standinStore.ts";
@@ -143,7 +143,7 @@
     }
 
     private async makeSettings({ name, service, dataCentre = "a" }: HostOptions): Promise<PlatformSettings> {
-        const listener = async () => ({ host: "127.0.0.1", port: await freePort() });
+        const listener = async () => ({ host: "127.0.0.1", port: await fixedPort() });
         return {
             nodeName: name,
             dataCentre,
--- a/test/support/standinApp.ts
+++ b/test/support/standinApp.ts
@@ -1,6 +1,6 @@
 /** A stand-in for a target on the platform: heartbeats, slots, calls of its own, and faults on demand. */
 import http from "node:http";
-import net from "node:net";
+import type net from "node:net";
 
 export type AppMode =
     | "well"
