--- /dev/null
+++ b/bench/platformCpu.ts
@@ -0,0 +1,181 @@
+/**
+ * Processor time that a request costs the node where it begins and the node beside its target, measured on the built
+ * program at a steady rate. Prints microseconds a request for both; `--prof DIR` writes V8 profiles there.
+ */
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import net from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fixedPort } from "../test/support/fixedPorts.ts";
+import { HOST, wireConfig } from "../test/support/platformMesh.ts";
+import { StandinStore } from "../test/support/standinStore.ts";
+
+const RATE_PER_S = 800;
+const WARM_UP_S = 4;
+const MEASURED_S = 10;
+const CLIENTS = 60;
+const BODY_BYTES = 600;
+const SERVICE_MS = 20;
+const TICKS_PER_S = 100;
+
+const profileDir = process.argv[2] === "--prof" ? process.argv[3] : undefined;
+const settingsDir = mkdtempSync(join(tmpdir(), "filbertspool-"));
+
+interface Host {
+    readonly name: string;
+    readonly service: string;
+    readonly ports: Readonly<Record<"app" | "outbound" | "ready" | "control" | "peer", number>>;
+}
+
+async function makeHost(name: string, service: string): Promise<Host> {
+    const ports = {
+        app: await fixedPort(),
+        outbound: await fixedPort(),
+        ready: await fixedPort(),
+        control: await fixedPort(),
+        peer: await fixedPort(),
+    };
+    return { name, service, ports };
+}
+
+function startNode(host: Host, storePort: number): ChildProcess {
+    const { ports } = host;
+    const path = join(settingsDir, `${host.name}.toml`);
+    writeFileSync(
+        path,
+        `node = "${host.name}"
+zone = "a"
+ip = "127.0.0.1"
+service = "${host.service}"
+app_addr = "127.0.0.1:${ports.app}"
+internal_port_range = [${ports.peer}, ${ports.peer}]
+bounds = ["grace=1s", "retry_budget_ratio=0.2", "budget_slack=48", "budget_window=10s"]
+[listen]
+outbound = "127.0.0.1:${ports.outbound}"
+ready = "127.0.0.1:${ports.ready}"
+control = "127.0.0.1:${ports.control}"
+[platform]
+address = "127.0.0.1:${storePort}"
+`,
+    );
+    const flags = profileDir === undefined ? [] : ["--cpu-prof", `--cpu-prof-dir=${profileDir}`];
+    return spawn(process.execPath, [...flags, "--max-semi-space-size=4", "target/filbertspool.cjs"], {
+        env: { PATH: process.env["PATH"], FILBERTSPOOL_BOOT: path },
+        stdio: ["ignore", "ignore", "inherit"],
+    });
+}
+
+/** A target that answers after a fixed time, with as little work as possible. */
+function startTarget(port: number): net.Server {
+    const body = "b".repeat(BODY_BYTES);
+    const server = net.createServer(socket => {
+        socket.setNoDelay(true);
+        socket.on("error", () => socket.destroy());
+        socket.on("data", chunk => {
+            const id = /X-Request-Id: (\S+)/i.exec(chunk.toString("latin1"))?.[1] ?? "";
+            setTimeout(() => {
+                socket.write(
+                    `HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: ${id}\r\nKeep-Alive: timeout=10\r\n`
+                        + `Content-Type: application/octet-stream\r\nContent-Length: ${BODY_BYTES}\r\n\r\n${body}`,
+                );
+            }, SERVICE_MS);
+        });
+    });
+    server.listen(port, "127.0.0.1");
+    return server;
+}
+
+async function beat(host: Host): Promise<void> {
+    await fetch(`http://127.0.0.1:${host.ports.control}/instances/i-${host.name}`, {
+        method: "PUT",
+        body: JSON.stringify({
+            service: host.service,
+            address: `127.0.0.1:${host.ports.app}`,
+            state: "ready",
+            slots: 150,
+            sequence: Date.now(),
+            born: 1,
+        }),
+    });
+}
+
+let answered = 0;
+let refused = 0;
+let sent = 0;
+
+class Client {
+    private readonly socket: net.Socket;
+    isFree = true;
+
+    constructor(port: number) {
+        this.socket = net.connect(port, "127.0.0.1");
+        this.socket.setNoDelay(true);
+        this.socket.on("data", chunk => {
+            const text = chunk.toString("latin1", 0, 12);
+            if (text.startsWith("HTTP/1.1 200")) answered++;
+            else if (text.startsWith("HTTP/1.1")) refused++;
+            this.isFree = true;
+        });
+    }
+
+    send(): void {
+        this.isFree = false;
+        sent++;
+        this.socket.write(
+            `GET /safe/x HTTP/1.1\r\nHost: ${HOST}\r\nX-Request-Id: ${
+                sent.toString(16).padStart(16, "0")
+            }\r\n`
+                + "X-Request-Deadline-Ms: 5000\r\n\r\n",
+        );
+    }
+}
+
+function processorMs(child: ChildProcess): number {
+    const fields = readFileSync(`/proc/${child.pid}/stat`, "utf8").split(") ")[1]!.split(" ");
+    return (Number(fields[11]) + Number(fields[12])) * 1000 / TICKS_PER_S;
+}
+
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+async function load(clients: readonly Client[], seconds: number): Promise<void> {
+    const startedAt = performance.now();
+    let due = 0;
+    while (performance.now() - startedAt < seconds * 1000) {
+        const wanted = (performance.now() - startedAt) * RATE_PER_S / 1000;
+        for (const client of clients) {
+            if (due >= wanted) break;
+            if (!client.isFree) continue;
+            client.send();
+            due++;
+        }
+        await pause(1);
+    }
+}
+
+const store = new StandinStore();
+const storePort = await store.start();
+store.putConfig(wireConfig(1));
+const hosts = [await makeHost("entry", "stock"), await makeHost("shop", "shop")];
+const children = hosts.map(host => startNode(host, storePort));
+const targets = hosts.map(host => startTarget(host.ports.app));
+await pause(1500);
+for (const host of hosts) await beat(host);
+await pause(500);
+const clients = Array.from({ length: CLIENTS }, () => new Client(hosts[0]!.ports.outbound));
+await load(clients, WARM_UP_S);
+const before = children.map(processorMs);
+const answeredBefore = answered;
+await load(clients, MEASURED_S);
+const requests = answered - answeredBefore;
+children.forEach((child, index) => {
+    const micros = (processorMs(child) - before[index]!) * 1000 / requests;
+    console.log(`${hosts[index]!.name}: ${micros.toFixed(0)} us of processor time a request`);
+});
+console.log(`${requests} answered at ${RATE_PER_S}/s, ${refused} refused`);
+for (const child of children) child.kill("SIGTERM");
+await Promise.all(children.map(child => new Promise(resolve => child.once("exit", resolve))));
+for (const target of targets) target.close();
+store.stop();
+process.exit(0);
