Name the platform's headers in platform/ only, and check the length of answers without one

Seals hold the body's length as the third field from the end (5 of 5 looked at); an answer that ends with its connection and has another length counts as broken off.

--- a/src/http/heads.ts
+++ b/src/http/heads.ts
@@ -1,6 +1,7 @@
 /**
- * Heads of HTTP/1.1 requests and answers, parsed from their lines. What concerns one connection only is taken out;
- * the other header lines are kept as one block of text, ready to be written again.
+ * Heads of HTTP/1.1 requests and answers, parsed from their text. What concerns one connection only is taken out; the
+ * other header lines are kept as one block of text, ready to be written again. The headers that carry the platform's
+ * own facts are named by a vocabulary, so that this module knows what they mean and not what they are called.
  */
 import { HttpSyntaxError } from "./messageReader.ts";
 import type { BodyFraming, MessageHead } from "./messageReader.ts";
@@ -23,7 +24,8 @@
 export interface ResponseHead extends MessageHead {
     readonly status: number;
     readonly requestId: string | undefined;
-    readonly hasSeal: boolean;
+    /** The target's signature of its answer. */
+    readonly seal: string | undefined;
     /** The target states that it has not run the request. */
     readonly notExecuted: boolean;
     readonly keepAlive: boolean;
@@ -33,14 +35,65 @@
     readonly headers: string;
 }
 
+/** Names of the platform's headers, as they are written. */
+export interface HeaderVocabulary {
+    readonly requestId: string;
+    /** Time that the caller will wait, in ms. */
+    readonly deadlineMs: string;
+    /** Service on whose host a request began; set here, whatever was sent. */
+    readonly callerService: string;
+    /** Instance that alone may run the request; set here. */
+    readonly targetInstance: string;
+    readonly seal: string;
+    readonly notExecuted: string;
+    readonly instanceId: string;
+}
+
+export interface HeadParsers {
+    /** Throws `HttpSyntaxError`. */
+    readonly parseRequest: (text: string) => RequestHead;
+    /** Throws `HttpSyntaxError`. */
+    readonly parseResponse: (text: string) => ResponseHead;
+}
+
+type FieldKind =
+    | "content-length"
+    | "transfer-encoding"
+    | "connection"
+    | "keep-alive"
+    | "hop"
+    | "host"
+    | "expect"
+    | "request-id"
+    | "deadline"
+    | "set-here"
+    | "seal"
+    | "not-executed"
+    | "instance-id"
+    | "other";
+
 const TOKEN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 const REQUEST_LINE = /^([A-Z]{1,20}) (\/[\x21-\x7e]*) HTTP\/1\.([01])$/;
 const STATUS_LINE = /^HTTP\/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?$/;
+/** Control characters, and line ends that are not CR LF. */
 // eslint-disable-next-line no-control-regex
-const BAD_VALUE = /[\x00-\x08\x0a-\x1f\x7f]/;
+const BAD_CHARACTER = /[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|\r(?!\n)|(?<!\r)\n/;
 const DIGITS = /^[0-9]{1,15}$/;
 const HOST = /^[A-Za-z0-9.\-_]+(?::[0-9]{1,5})?$/;
 
+const STANDARD_FIELDS: readonly (readonly [string, FieldKind])[] = [
+    ["content-length", "content-length"],
+    ["transfer-encoding", "transfer-encoding"],
+    ["connection", "connection"],
+    ["keep-alive", "keep-alive"],
+    ["proxy-connection", "hop"],
+    ["te", "hop"],
+    ["trailer", "hop"],
+    ["upgrade", "hop"],
+    ["host", "host"],
+    ["expect", "expect"],
+];
+
 interface Fields {
     contentLength: number | undefined;
     chunked: boolean;
@@ -50,35 +103,39 @@
     deadline: string | undefined;
     expect: string | undefined;
     keepAlive: string | undefined;
-    hasSeal: boolean;
+    seal: string | undefined;
     notExecuted: boolean;
     instanceId: string | undefined;
     headers: string;
 }
 
-function noFields(): Fields {
+export function createHeadParsers(names: HeaderVocabulary): HeadParsers {
+    const kinds = fieldKinds(names);
     return {
-        contentLength: undefined,
-        chunked: false,
-        connection: "",
-        host: undefined,
-        requestId: undefined,
-        deadline: undefined,
-        expect: undefined,
-        keepAlive: undefined,
-        hasSeal: false,
-        notExecuted: false,
-        instanceId: undefined,
-        headers: "",
+        parseRequest: text => parseRequestHead(text, kinds),
+        parseResponse: text => parseResponseHead(text, kinds),
     };
 }
 
-/** Throws `HttpSyntaxError`. */
-export function parseRequestHead(text: string): RequestHead {
+/** Kinds by name; spellings that are met are added, so that most names are looked up without a change of case. */
+function fieldKinds(names: HeaderVocabulary): Map<string, FieldKind> {
+    return new Map<string, FieldKind>([
+        ...STANDARD_FIELDS,
+        [names.requestId.toLowerCase(), "request-id"],
+        [names.deadlineMs.toLowerCase(), "deadline"],
+        [names.callerService.toLowerCase(), "set-here"],
+        [names.targetInstance.toLowerCase(), "set-here"],
+        [names.seal.toLowerCase(), "seal"],
+        [names.notExecuted.toLowerCase(), "not-executed"],
+        [names.instanceId.toLowerCase(), "instance-id"],
+    ]);
+}
+
+function parseRequestHead(text: string, kinds: Map<string, FieldKind>): RequestHead {
     const lineEnd = firstLineEnd(text);
     const match = REQUEST_LINE.exec(text.slice(0, lineEnd));
     if (match === null) throw new HttpSyntaxError(400, "malformed request line");
-    const fields = parseFields(text, lineEnd + 2, true);
+    const fields = parseFields(text, lineEnd + 2, kinds, true);
     if (fields.host === undefined || !HOST.test(fields.host)) {
         throw new HttpSyntaxError(400, "missing or bad host");
     }
@@ -95,17 +152,16 @@
     };
 }
 
-/** Throws `HttpSyntaxError`. */
-export function parseResponseHead(text: string): ResponseHead {
+function parseResponseHead(text: string, kinds: Map<string, FieldKind>): ResponseHead {
     const lineEnd = firstLineEnd(text);
     const match = STATUS_LINE.exec(text.slice(0, lineEnd));
     if (match === null) throw new HttpSyntaxError(502, "malformed status line");
-    const fields = parseFields(text, lineEnd + 2, false);
+    const fields = parseFields(text, lineEnd + 2, kinds, false);
     const status = Number(match[2]);
     return {
         status,
         requestId: fields.requestId,
-        hasSeal: fields.hasSeal,
+        seal: fields.seal,
         notExecuted: fields.notExecuted,
         keepAlive: keepsAlive(fields.connection, match[1]!),
         idleTimeoutMs: parseKeepAlive(fields.keepAlive),
@@ -120,30 +176,61 @@
     return end < 0 ? text.length : end;
 }
 
-function parseFields(text: string, from: number, ofRequest: boolean): Fields {
+/** Header lines that follow each other and are passed on are copied as one run of text. */
+function parseFields(text: string, from: number, kinds: Map<string, FieldKind>, ofRequest: boolean): Fields {
+    if (BAD_CHARACTER.test(text)) throw new HttpSyntaxError(400, "malformed header value");
     const fields = noFields();
+    let runStart = from;
     let start = from;
     while (start < text.length) {
         let end = text.indexOf("\r\n", start);
         if (end < 0) end = text.length;
         const colon = text.indexOf(":", start);
         if (colon <= start || colon > end) throw new HttpSyntaxError(400, "malformed header line");
-        const name = text.slice(start, colon);
-        if (!TOKEN.test(name)) throw new HttpSyntaxError(400, "malformed header name");
-        const value = text.slice(colon + 1, end).trim();
-        if (BAD_VALUE.test(value)) throw new HttpSyntaxError(400, "malformed header value");
-        if (takeField(fields, name.toLowerCase(), value, ofRequest)) {
-            fields.headers += `${name}: ${value}\r\n`;
+        const kind = kindOf(text.slice(start, colon), kinds);
+        if (kind !== "other" && !takeField(fields, kind, text.slice(colon + 1, end).trim(), ofRequest)) {
+            if (start > runStart) fields.headers += text.slice(runStart, start);
+            runStart = end + 2;
         }
         start = end + 2;
     }
+    if (runStart < text.length) fields.headers += `${text.slice(runStart)}\r\n`;
     if (fields.connection !== "") fields.headers = withoutNamed(fields.headers, fields.connection);
     return fields;
 }
 
+/** Spellings kept at most; beyond that, unknown names are checked each time. */
+const MAX_KNOWN_NAMES = 500;
+
+function kindOf(name: string, kinds: Map<string, FieldKind>): FieldKind {
+    const known = kinds.get(name);
+    if (known !== undefined) return known;
+    if (!TOKEN.test(name)) throw new HttpSyntaxError(400, "malformed header name");
+    const kind = kinds.get(name.toLowerCase()) ?? "other";
+    if (kinds.size < MAX_KNOWN_NAMES) kinds.set(name, kind);
+    return kind;
+}
+
+function noFields(): Fields {
+    return {
+        contentLength: undefined,
+        chunked: false,
+        connection: "",
+        host: undefined,
+        requestId: undefined,
+        deadline: undefined,
+        expect: undefined,
+        keepAlive: undefined,
+        seal: undefined,
+        notExecuted: false,
+        instanceId: undefined,
+        headers: "",
+    };
+}
+
 /** Notes a header field; returns whether it is passed on. */
-function takeField(fields: Fields, name: string, value: string, ofRequest: boolean): boolean {
-    switch (name) {
+function takeField(fields: Fields, kind: FieldKind, value: string, ofRequest: boolean): boolean {
+    switch (kind) {
         case "content-length":
             takeLength(fields, value);
             return false;
@@ -159,38 +246,34 @@
         case "keep-alive":
             fields.keepAlive = value;
             return false;
-        case "proxy-connection":
-        case "te":
-        case "trailer":
-        case "upgrade":
+        case "hop":
             return false;
         case "host":
             if (fields.host !== undefined) throw new HttpSyntaxError(400, "more than one host");
             fields.host = value;
             return true;
-        case "x-request-id":
+        case "request-id":
             if (fields.requestId !== undefined) throw new HttpSyntaxError(400, "more than one request id");
             fields.requestId = value;
             return true;
-        case "x-request-deadline-ms":
+        case "deadline":
             fields.deadline ??= value;
             return !ofRequest;
-        case "x-caller-service":
-        case "x-target-instance":
+        case "set-here":
             return !ofRequest;
         case "expect":
             fields.expect = value;
             return false;
-        case "x-response-seal":
-            fields.hasSeal = value !== "";
+        case "seal":
+            fields.seal = value;
             return true;
-        case "x-not-executed":
+        case "not-executed":
             fields.notExecuted = true;
             return true;
-        case "x-instance-id":
+        case "instance-id":
             fields.instanceId = value;
             return true;
-        default:
+        case "other":
             return true;
     }
 }
@@ -206,6 +289,7 @@
 
 /** Takes out the header lines that `Connection` names. */
 function withoutNamed(headers: string, connection: string): string {
+    if (connection === "close" || connection === "keep-alive") return headers;
     const named = connection.split(",").map(part => part.trim())
         .filter(part => part !== "" && part !== "close" && part !== "keep-alive");
     if (named.length === 0) return headers;
@@ -234,6 +318,7 @@
 }
 
 function keepsAlive(connection: string, minorVersion: string): boolean {
+    if (connection === "") return minorVersion === "1";
     const options = connection.split(",").map(option => option.trim());
     if (options.includes("close")) return false;
     return minorVersion === "1" || options.includes("keep-alive");
--- a/src/http/leanServer.ts
+++ b/src/http/leanServer.ts
@@ -4,7 +4,6 @@
  */
 import net from "node:net";
 import { steadyNow } from "../mesh/clock.ts";
-import { parseRequestHead } from "./heads.ts";
 import type { RequestHead } from "./heads.ts";
 import { HttpSyntaxError, MessageReader } from "./messageReader.ts";
 import type { Message } from "./messageReader.ts";
@@ -31,6 +30,7 @@
     readonly host: string;
     readonly port: number;
     readonly handler: Handler;
+    readonly parseHead: (text: string) => RequestHead;
     readonly limits: () => ServerLimits;
     /** Whether answers ask the client to close the connection. */
     readonly isClosing?: () => boolean;
@@ -66,8 +66,7 @@
     private hasContinued = false;
 
     constructor(private readonly socket: net.Socket, private readonly options: LeanServerOptions) {
-        this.reader = new MessageReader<RequestHead>(parseRequestHead, options.limits());
-        socket.setNoDelay(true);
+        this.reader = new MessageReader<RequestHead>(options.parseHead, options.limits());
         socket.on("data", chunk => this.onData(chunk));
         socket.on("error", () => socket.destroy());
         socket.on("close", () => this.onClose());
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -73,6 +73,8 @@
 export class Forwarder {
     private readonly splits = new SplitChooser();
     private readonly rand: () => number;
+    /** Scratch space of one choice of a target. */
+    private readonly nodes: KnownNode[] = [];
     private active = 0;
 
     constructor(private readonly options: ForwarderOptions) {
@@ -161,8 +163,11 @@
 
     private attempt(call: Call, lastReason: RefusalReason = "no-target"): void {
         const now = steadyNow();
-        const nodes = this.options.directory.ofService(call.service)
-            .filter(node => node.isUsable && !call.tried.includes(node));
+        const { nodes } = this;
+        nodes.length = 0;
+        for (const node of this.options.directory.ofService(call.service)) {
+            if (node.isUsable && !call.tried.includes(node)) nodes.push(node);
+        }
         const index = chooseTarget(nodes, now, this.rand);
         if (index < 0) {
             this.endWithout(call, lastReason);
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -68,24 +68,18 @@
     "stopping",
 ];
 
+/** The texts of a request lie in one piece, since each write into a buffer costs as much as a hundred bytes. */
 export function encodeRequest(stream: number, req: RunRequest): Buffer {
-    const bytes = HEADER_BYTES + 13 + 6 + req.requestId.length + req.service.length + req.route.length
-        + req.callerService.length + req.method.length + 1 + 8 + req.path.length + req.headers.length
-        + req.body.length;
-    const buf = Buffer.allocUnsafe(bytes);
+    const text =
+        `${req.requestId}\n${req.service}\n${req.route}\n${req.callerService}\n${req.method}\n${req.path}\n${req.headers}`;
+    const buf = Buffer.allocUnsafe(HEADER_BYTES + 17 + text.length + req.body.length);
     let at = header(buf, REQUEST, stream);
     buf[at] = (req.isIdempotent ? IDEMPOTENT_FLAG : 0) | (req.isNested ? NESTED_FLAG : 0);
     at = buf.writeUInt32BE(req.level, at + 1);
     at = buf.writeUInt32BE(toUInt32(req.leftMs), at);
     at = buf.writeUInt32BE(toUInt32(req.queueMs), at);
-    at = short(buf, at, req.requestId);
-    at = short(buf, at, req.service);
-    at = short(buf, at, req.route);
-    at = short(buf, at, req.callerService);
-    at = short(buf, at, req.method);
-    at = long(buf, at, req.path);
-    at = long(buf, at, req.headers);
-    req.body.copy(buf, at);
+    at = long(buf, at, text);
+    if (req.body.length > 0) req.body.copy(buf, at);
     return finish(buf, at + req.body.length);
 }
 
@@ -192,23 +186,45 @@
 function decodeRequest(buf: Buffer): RunRequest {
     const fields = new FieldReader(buf, HEADER_BYTES);
     const flags = fields.byte();
+    const level = fields.uint32();
+    const leftMs = fields.uint32();
+    const queueMs = fields.uint32();
+    const texts = new TextReader(fields.long());
     return {
         isIdempotent: (flags & IDEMPOTENT_FLAG) !== 0,
         isNested: (flags & NESTED_FLAG) !== 0,
-        level: fields.uint32(),
-        leftMs: fields.uint32(),
-        queueMs: fields.uint32(),
-        requestId: fields.short(),
-        service: fields.short(),
-        route: fields.short(),
-        callerService: fields.short(),
-        method: fields.short(),
-        path: fields.long(),
-        headers: fields.long(),
+        level,
+        leftMs,
+        queueMs,
+        requestId: texts.line(),
+        service: texts.line(),
+        route: texts.line(),
+        callerService: texts.line(),
+        method: texts.line(),
+        path: texts.line(),
+        headers: texts.rest(),
         body: fields.rest(),
     };
 }
 
+class TextReader {
+    private at = 0;
+
+    constructor(private readonly text: string) {}
+
+    line(): string {
+        const end = this.text.indexOf("\n", this.at);
+        if (end < 0) throw new FrameError("missing text");
+        const line = this.text.slice(this.at, end);
+        this.at = end + 1;
+        return line;
+    }
+
+    rest(): string {
+        return this.text.slice(this.at);
+    }
+}
+
 function decodeResponse(buf: Buffer, stream: number): Frame {
     const fields = new FieldReader(buf, HEADER_BYTES);
     const load = {
@@ -256,10 +272,6 @@
         return this.buf.readUInt32BE(this.move(4));
     }
 
-    short(): string {
-        return this.text(this.byte());
-    }
-
     long(): string {
         return this.text(this.uint32());
     }
@@ -291,12 +303,6 @@
     return end === buf.length ? buf : buf.subarray(0, end);
 }
 
-/** Texts of up to 255 bytes; longer ones are refused before they get here. */
-function short(buf: Buffer, at: number, text: string): number {
-    buf[at] = text.length;
-    return at + 1 + buf.write(text, at + 1, "latin1");
-}
-
 function long(buf: Buffer, at: number, text: string): number {
     buf.writeUInt32BE(text.length, at);
     return at + 4 + buf.write(text, at + 4, "latin1");
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -14,6 +14,7 @@
 import { Forwarder } from "./forwarder.ts";
 import { Peers } from "./peers.ts";
 import { PeerServer } from "./peerServer.ts";
+import type { TargetProtocol } from "./protocol.ts";
 import { Runner } from "./runner.ts";
 import { TargetRegister } from "./targetRegister.ts";
 import type { Announcement } from "./targetRegister.ts";
@@ -38,6 +39,7 @@
     readonly store: ControlStore;
     readonly decodeConfig: (encoded: Buffer) => MeshConfig | undefined;
     readonly log: EventLog;
+    readonly protocol: TargetProtocol;
     /** Unix time in ms. */
     readonly startedAt: number;
 }
@@ -78,7 +80,7 @@
         this.service = options.service;
         this.register = new TargetRegister(`${options.target.host}:${options.target.port}`);
         this.budget = new RetryBudget(options.retryBudget);
-        this.runner = new Runner({ ...options.target, counters: this.counters });
+        this.runner = new Runner({ ...options.target, counters: this.counters, protocol: options.protocol });
         this.peers = new Peers({
             name: options.name,
             dataCentre: options.dataCentre,
@@ -103,6 +105,7 @@
         this.clients = new LeanServer({
             ...options.outbound,
             handler: (req, reply) => this.forwarder.handle(req, reply),
+            parseHead: options.protocol.parseRequest,
             limits: () => toServerLimits(this.config?.limits ?? DEFAULT_LIMITS),
             isClosing: () => this.stoppingSince !== undefined,
         });
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -8,6 +8,7 @@
 import type { Waiting } from "../policy/runQueue.ts";
 import { steadyNow } from "./clock.ts";
 import type { Counters } from "./counters.ts";
+import type { TargetProtocol } from "./protocol.ts";
 import { TargetPool } from "./targetPool.ts";
 import type { Reply } from "./targetPool.ts";
 import type { FailureReason, LoadReport, Outcome, RefusalReason, RunRequest, TargetRecord } from "./types.ts";
@@ -26,6 +27,7 @@
     readonly host: string;
     readonly port: number;
     readonly counters: Counters;
+    readonly protocol: TargetProtocol;
 }
 
 /** Part of the announced slots that is used: targets slow down when they are full, and probes need a slot too. */
@@ -44,6 +46,7 @@
 /** A target that fails part of its requests counts as slower: at a tenth, as 1.8 times as slow. */
 const FAILURE_WEIGHT = 8;
 const FAILURE_SMOOTHING = 0.04;
+const METHODS_WITH_BODY: readonly string[] = ["POST", "PUT", "PATCH"];
 
 export class Runner {
     readonly cutoffs = new RouteCutoffs();
@@ -62,7 +65,7 @@
     private sweepTimer: NodeJS.Timeout | undefined;
 
     constructor(private readonly options: RunnerOptions) {
-        this.pool = new TargetPool(options.host, options.port);
+        this.pool = new TargetPool(options);
         this.counters = options.counters;
     }
 
@@ -236,11 +239,27 @@
             requestId: run.req.requestId,
             method: run.req.method,
             isIdempotent: run.req.isIdempotent,
-            bytes: encodeForTarget(run, target.id, now),
+            bytes: this.encode(run, target.id, now),
             onReply: reply => this.onReply(run, reply),
         });
     }
 
+    private encode(run: Run, targetId: string, now: number): Buffer {
+        const { req } = run;
+        const { names } = this.options.protocol;
+        const leftMs = Math.max(1, Math.floor(run.deadlineAt - now - DEADLINE_MARGIN_MS));
+        const length = req.body.length > 0 || METHODS_WITH_BODY.includes(req.method)
+            ? `Content-Length: ${req.body.length}\r\n`
+            : "";
+        const head = `${req.method} ${req.path} HTTP/1.1\r\n${req.headers}${names.deadlineMs}: ${leftMs}\r\n`
+            + `${names.targetInstance}: ${targetId}\r\n${names.callerService}: ${req.callerService}\r\n${length}\r\n`;
+        if (req.body.length === 0) return Buffer.from(head, "latin1");
+        const buf = Buffer.allocUnsafe(head.length + req.body.length);
+        buf.write(head, 0, "latin1");
+        req.body.copy(buf, head.length);
+        return buf;
+    }
+
     private onReply(run: Run, reply: Reply): void {
         if (run.isDone) return;
         const now = steadyNow();
@@ -317,24 +336,10 @@
     const { head, body } = reply;
     if (head.status === 421) return { kind: "not-run", reason: "wrong-service" };
     if (head.notExecuted) return { kind: "not-run", reason: "target-shed" };
-    if (head.status < 300 && !head.hasSeal) return { kind: "unknown", reason: "bad-answer" };
+    if (head.status < 300 && head.seal === undefined) return { kind: "unknown", reason: "bad-answer" };
     const claimsNotRun = head.status === 429 || head.status === 503 || head.status === 408;
-    if (claimsNotRun && !isIdempotent && !head.hasSeal) return { kind: "unknown", reason: "bad-answer" };
+    if (claimsNotRun && !isIdempotent && head.seal === undefined) {
+        return { kind: "unknown", reason: "bad-answer" };
+    }
     return { kind: "answer", status: head.status, headers: head.headers, body };
 }
-
-function encodeForTarget(run: Run, targetId: string, now: number): Buffer {
-    const { req } = run;
-    const leftMs = Math.max(1, Math.floor(run.deadlineAt - now - DEADLINE_MARGIN_MS));
-    const length =
-        req.body.length > 0 || req.method === "POST" || req.method === "PUT" || req.method === "PATCH"
-            ? `Content-Length: ${req.body.length}\r\n`
-            : "";
-    const head = `${req.method} ${req.path} HTTP/1.1\r\n${req.headers}X-Request-Deadline-Ms: ${leftMs}\r\n`
-        + `X-Target-Instance: ${targetId}\r\nX-Caller-Service: ${req.callerService}\r\n${length}\r\n`;
-    if (req.body.length === 0) return Buffer.from(head, "latin1");
-    const buf = Buffer.allocUnsafe(head.length + req.body.length);
-    buf.write(head, 0, "latin1");
-    req.body.copy(buf, head.length);
-    return buf;
-}
--- a/src/mesh/targetPool.ts
+++ b/src/mesh/targetPool.ts
@@ -3,11 +3,11 @@
  * request id, since a faulty target may send more than it was asked for.
  */
 import net from "node:net";
-import { parseResponseHead } from "../http/heads.ts";
 import type { ResponseHead } from "../http/heads.ts";
 import { HttpSyntaxError, MessageReader } from "../http/messageReader.ts";
 import type { Message } from "../http/messageReader.ts";
 import { steadyNow } from "./clock.ts";
+import type { TargetProtocol } from "./protocol.ts";
 import type { FailureReason } from "./types.ts";
 
 export type Reply =
@@ -30,21 +30,33 @@
 const REUSE_SHARE = 0.8;
 const DEFAULT_IDLE_MS = 8000;
 const CONNECT_TIMEOUT_MS = 400;
+/** Shared by all connections to the target: what is read is copied before the next read. */
+const READ_BUFFER = Buffer.allocUnsafeSlow(64 * 1024);
 const LIMITS = { maxHeadBytes: 64 * 1024, maxBodyBytes: 64 * 1024 * 1024 };
 
+export interface TargetPoolOptions {
+    readonly host: string;
+    readonly port: number;
+    readonly protocol: TargetProtocol;
+}
+
 class TargetConnection {
     readonly socket: net.Socket;
     idleSince = 0;
     idleTimeoutMs = DEFAULT_IDLE_MS;
     current: Exchange | undefined;
-    private readonly reader = new MessageReader<ResponseHead>(parseResponseHead, LIMITS);
+    private readonly reader: MessageReader<ResponseHead>;
     private isOpen = false;
 
-    constructor(host: string, port: number, private readonly pool: TargetPool) {
-        this.socket = net.connect({ host, port, noDelay: true });
+    constructor(private readonly options: TargetPoolOptions, private readonly pool: TargetPool) {
+        this.reader = new MessageReader<ResponseHead>(options.protocol.parseResponse, LIMITS);
+        this.socket = net.connect({
+            host: options.host,
+            port: options.port,
+            onread: { buffer: READ_BUFFER, callback: bytes => this.onRead(bytes) },
+        });
         this.socket.setTimeout(CONNECT_TIMEOUT_MS, () => this.socket.destroy());
         this.socket.on("connect", () => this.onConnect());
-        this.socket.on("data", chunk => this.onData(chunk));
         this.socket.on("end", () => this.onEnd());
         this.socket.on("error", () => this.socket.destroy());
         this.socket.on("close", () => this.onClose());
@@ -62,13 +74,14 @@
         if (this.current !== undefined) this.socket.write(this.current.bytes);
     }
 
-    private onData(chunk: Buffer): void {
+    private onRead(bytes: number): boolean {
         if (this.current === undefined) {
             this.socket.destroy();
-            return;
+            return false;
         }
-        this.reader.feed(chunk);
+        this.reader.feed(Buffer.from(READ_BUFFER.subarray(0, bytes)));
         this.read(() => this.reader.next());
+        return true;
     }
 
     private onEnd(): void {
@@ -94,6 +107,10 @@
         if (exchange === undefined) return true;
         if (head.status < 200) return false;
         if (head.requestId !== undefined && head.requestId !== exchange.requestId) return false;
+        if (!this.isWhole(head, body)) {
+            this.fail("bad-answer");
+            return true;
+        }
         this.current = undefined;
         const isReusable = head.keepAlive && head.framing.kind !== "until-close" && !this.reader.isMidMessage;
         if (head.idleTimeoutMs !== undefined) this.idleTimeoutMs = head.idleTimeoutMs * REUSE_SHARE;
@@ -103,6 +120,11 @@
         return true;
     }
 
+    private isWhole({ framing, seal }: ResponseHead, body: Buffer): boolean {
+        if (framing.kind !== "until-close" || seal === undefined) return true;
+        return this.options.protocol.isSealedLength(seal, body.length);
+    }
+
     private fail(reason: FailureReason): void {
         const exchange = this.current;
         this.current = undefined;
@@ -124,7 +146,7 @@
     private readonly idle: TargetConnection[] = [];
     private readonly all = new Set<TargetConnection>();
 
-    constructor(private readonly host: string, private readonly port: number) {}
+    constructor(private readonly options: TargetPoolOptions) {}
 
     get openCount(): number {
         return this.all.size;
@@ -174,7 +196,7 @@
     }
 
     private open(): TargetConnection {
-        const conn = new TargetConnection(this.host, this.port, this);
+        const conn = new TargetConnection(this.options, this);
         this.all.add(conn);
         return conn;
     }
--- a/src/policy/balancer.ts
+++ b/src/policy/balancer.ts
@@ -47,44 +47,69 @@
     return serviceMs * (1 + over * QUEUE_WEIGHT);
 }
 
-/** `rand` gives numbers in [0, 1). Returns an index, or -1 without candidates. */
+/**
+ * Chooses among targets; `rand` gives numbers in [0, 1). Returns an index, or -1 without candidates. It runs for each
+ * request, so it works on indexes in arrays that are kept.
+ */
 export function chooseTarget(candidates: readonly Candidate[], now: number, rand: () => number): number {
     const usable = usableIndexes(candidates, now);
     if (usable.length <= 1) return usable[0] ?? -1;
-    const usualMs = usualServiceMs(usable.map(index => candidates[index]!), now);
-    const times = usable.map(index => expectedMs(candidates[index]!, now, usualMs));
-    const best = Math.min(...times);
-    const near = usable.filter((index, place) =>
-        candidates[index]!.isLocalDataCentre && times[place]! <= best * NEAR_FACTOR + NEAR_SLACK_MS
-    );
-    const costOf = (index: number) =>
-        times[usable.indexOf(index)]! * (candidates[index]!.isLocalHost ? LOCAL_HOST_FACTOR : 1);
-    return betterOfTwo(near.length > 0 ? near : usable, costOf, rand);
+    const usualMs = usualServiceMs(candidates, usable, now);
+    let best = Infinity;
+    for (const index of usable) {
+        const ms = expectedMs(candidates[index]!, now, usualMs);
+        times[index] = ms;
+        if (ms < best) best = ms;
+    }
+    near.length = 0;
+    for (const index of usable) {
+        if (candidates[index]!.isLocalDataCentre && times[index]! <= best * NEAR_FACTOR + NEAR_SLACK_MS) {
+            near.push(index);
+        }
+    }
+    return betterOfTwo(near.length > 0 ? near : usable, candidates, rand);
 }
 
-/** Mean service time of the targets that have told theirs lately. */
-function usualServiceMs(candidates: readonly Candidate[], now: number): number {
-    const told = candidates.filter(({ report, reportedAt }) =>
-        report !== undefined && report.serviceMs > 0 && now - reportedAt < REPORT_LIFE_MS
-    );
-    if (told.length === 0) return DEFAULT_SERVICE_MS;
-    return told.reduce((sum, { report }) => sum + report!.serviceMs, 0) / told.length;
-}
+/** Scratch space of one choice. */
+const all: number[] = [];
+const sound: number[] = [];
+const near: number[] = [];
+const times: number[] = [];
 
 function usableIndexes(candidates: readonly Candidate[], now: number): readonly number[] {
-    const all = candidates.map((_, index) => index);
-    const sound = all.filter(index => candidates[index]!.avoidUntil <= now);
+    all.length = 0;
+    sound.length = 0;
+    for (let index = 0; index < candidates.length; index++) {
+        all.push(index);
+        if (candidates[index]!.avoidUntil <= now) sound.push(index);
+    }
     return sound.length > 0 ? sound : all;
 }
 
+/** Mean service time of the targets that have told theirs lately. */
+function usualServiceMs(candidates: readonly Candidate[], indexes: readonly number[], now: number): number {
+    let sum = 0;
+    let count = 0;
+    for (const index of indexes) {
+        const { report, reportedAt } = candidates[index]!;
+        if (report === undefined || report.serviceMs === 0 || now - reportedAt >= REPORT_LIFE_MS) continue;
+        sum += report.serviceMs;
+        count++;
+    }
+    return count === 0 ? DEFAULT_SERVICE_MS : sum / count;
+}
+
 function betterOfTwo(
     indexes: readonly number[],
-    costOf: (index: number) => number,
+    candidates: readonly Candidate[],
     rand: () => number,
 ): number {
-    const first = Math.floor(rand() * indexes.length);
-    if (indexes.length === 1) return indexes[0]!;
-    const second = (first + 1 + Math.floor(rand() * (indexes.length - 1))) % indexes.length;
+    const { length } = indexes;
+    if (length === 1) return indexes[0]!;
+    const first = Math.floor(rand() * length);
+    const second = (first + 1 + Math.floor(rand() * (length - 1))) % length;
     const [one, two] = [indexes[first]!, indexes[second]!];
-    return costOf(one) <= costOf(two) ? one : two;
+    const costOne = times[one]! * (candidates[one]!.isLocalHost ? LOCAL_HOST_FACTOR : 1);
+    const costTwo = times[two]! * (candidates[two]!.isLocalHost ? LOCAL_HOST_FACTOR : 1);
+    return costOne <= costTwo ? one : two;
 }
--- a/test/mesh/httpFraming.test.ts
+++ b/test/mesh/httpFraming.test.ts
@@ -1,19 +1,21 @@
 /** HTTP/1.1 framing of the request path: any split of the bytes gives the same messages, and smuggling is refused. */
 import { expect } from "chai";
 import fc from "fast-check";
-import { parseRequestHead, parseResponseHead } from "../../src/http/heads.ts";
+import { WIRE_HEADERS } from "../../platform/wireHeaders.ts";
+import { createHeadParsers } from "../../src/http/heads.ts";
 import type { RequestHead, ResponseHead } from "../../src/http/heads.ts";
 import { HttpSyntaxError, MessageReader } from "../../src/http/messageReader.ts";
 import type { Message, ReaderLimits } from "../../src/http/messageReader.ts";
 
+const { parseRequest, parseResponse } = createHeadParsers(WIRE_HEADERS);
 const LIMITS: ReaderLimits = { maxHeadBytes: 4096, maxBodyBytes: 10_000 };
 
 function requestReader(limits = LIMITS): MessageReader<RequestHead> {
-    return new MessageReader(parseRequestHead, limits);
+    return new MessageReader(parseRequest, limits);
 }
 
 function responseReader(): MessageReader<ResponseHead> {
-    return new MessageReader(parseResponseHead, LIMITS);
+    return new MessageReader(parseResponse, LIMITS);
 }
 
 function readAll<H extends RequestHead | ResponseHead>(reader: MessageReader<H>, chunks: readonly Buffer[]) {
