--- /dev/null
+++ b/src/mesh/call.ts
@@ -0,0 +1,40 @@
+/** A request that this node forwards, from its arrival to its answer. */
+import type { RequestHead } from "../http/heads.ts";
+import type { Reply } from "../http/leanServer.ts";
+import type { Message } from "../http/messageReader.ts";
+import type { KnownNode } from "./directory.ts";
+import type { Run } from "./runner.ts";
+import type { Outcome, Route } from "./types.ts";
+
+export interface Call {
+    readonly req: Message<RequestHead>;
+    readonly route: Route;
+    readonly service: string;
+    readonly parent: Run | undefined;
+    readonly level: number;
+    readonly startedAt: number;
+    readonly endsAt: number;
+    readonly reply: Reply;
+    readonly tried: KnownNode[];
+    timer: NodeJS.Timeout | undefined;
+    sends: number;
+    redirects: number;
+    /** Whether some send may have run the request. */
+    mayHaveRun: boolean;
+    cancelSend: (() => void) | undefined;
+    isDone: boolean;
+}
+
+/** Whether an outcome says that the target or the way to it is at fault, and not its load or the request. */
+export function isTargetFault(outcome: Outcome): boolean {
+    switch (outcome.kind) {
+        case "answer":
+            return false;
+        case "unknown":
+            return outcome.reason === "link-lost" || outcome.reason === "connection-lost";
+        case "not-run":
+            return !LOAD_REASONS.includes(outcome.reason);
+    }
+}
+
+const LOAD_REASONS: readonly string[] = ["overload", "queue-timeout", "deadline", "target-shed"];
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -10,7 +10,10 @@
 import { retryAfterMs } from "../policy/retryAfter.ts";
 import type { RetryBudget } from "../policy/retryBudget.ts";
 import { decideRetry } from "../policy/retryDecision.ts";
+import { RouteBreaker } from "../policy/routeBreaker.ts";
 import { findRoute, SplitChooser } from "../policy/routeTable.ts";
+import { isTargetFault } from "./call.ts";
+import type { Call } from "./call.ts";
 import { steadyNow } from "./clock.ts";
 import type { Counters } from "./counters.ts";
 import type { Directory, KnownNode } from "./directory.ts";
@@ -41,25 +44,6 @@
     readonly rand?: () => number;
 }
 
-interface Call {
-    readonly req: Message<RequestHead>;
-    readonly route: Route;
-    readonly service: string;
-    readonly parent: Run | undefined;
-    readonly level: number;
-    readonly startedAt: number;
-    readonly endsAt: number;
-    readonly reply: Reply;
-    readonly tried: KnownNode[];
-    timer: NodeJS.Timeout | undefined;
-    sends: number;
-    redirects: number;
-    /** Whether some send may have run the request. */
-    mayHaveRun: boolean;
-    cancelSend: (() => void) | undefined;
-    isDone: boolean;
-}
-
 const DEFAULT_DEADLINE_MS = 30_000;
 const MAX_ID_BYTES = 255;
 /** Part of the latency objective that a request of a client may wait for a slot. */
@@ -72,6 +56,7 @@
 
 export class Forwarder {
     private readonly splits = new SplitChooser();
+    private readonly breaker = new RouteBreaker();
     private readonly rand: () => number;
     /** Scratch space of one choice of a target. */
     private readonly nodes: KnownNode[] = [];
@@ -150,6 +135,10 @@
                 this.refuse(call, "overload", cutoff);
                 return false;
             }
+            if (!this.breaker.isAdmitted(call.route.name, call.startedAt, this.rand)) {
+                this.refuse(call, "failing-below");
+                return false;
+            }
         }
         const leftMs = Math.max(0, call.endsAt - call.startedAt);
         // Timers of equal length share a list, so lengths are rounded.
@@ -300,6 +289,9 @@
     private end(call: Call, outcome: Outcome): void {
         switch (outcome.kind) {
             case "answer":
+                if (call.parent === undefined) {
+                    this.breaker.note(call.route.name, outcome.status >= 500, steadyNow());
+                }
                 this.finish(call, outcome);
                 return;
             case "not-run":
@@ -386,19 +378,6 @@
     }
 }
 
-function isTargetFault(outcome: Outcome): boolean {
-    switch (outcome.kind) {
-        case "answer":
-            return false;
-        case "unknown":
-            return outcome.reason === "link-lost" || outcome.reason === "connection-lost";
-        case "not-run":
-            return outcome.reason !== "overload" && outcome.reason !== "queue-timeout"
-                && outcome.reason !== "deadline"
-                && outcome.reason !== "target-shed";
-    }
-}
-
 function plain(status: number): HttpAnswer {
     return { status, headers: "", body: EMPTY };
 }
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -51,6 +51,7 @@
     "target-down",
     "wrong-service",
     "overload",
+    "failing-below",
     "queue-timeout",
     "target-shed",
     "link-down",
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -156,7 +156,7 @@
     /** Called every 100 ms. */
     tick(now: number): void {
         const limit = Math.max(1, this.limit);
-        this.cutoff.tick(now, this.inUse / limit, this.queue.length / limit);
+        this.cutoff.tick(now, this.queue.length / limit);
         this.pool.closeStale(now);
         this.giveUpOverdue(now);
         this.giveUpSilent(now);
--- a/src/mesh/types.ts
+++ b/src/mesh/types.ts
@@ -76,6 +76,7 @@
     | "target-down"
     | "wrong-service"
     | "overload"
+    | "failing-below"
     | "queue-timeout"
     | "target-shed"
     | "link-down"
--- a/src/policy/balancer.ts
+++ b/src/policy/balancer.ts
@@ -1,7 +1,7 @@
 /**
- * Choice of a target. Targets of the own data centre come first while their expected time is near that of the best
- * one elsewhere, since bytes between data centres are dear; beyond that, the better of two random ones is taken,
- * so that many nodes with the same view do not all choose the same target.
+ * Choice of a target. Targets of the own data centre come first while they have free slots and their expected time is
+ * near that of the best one elsewhere, since bytes between data centres are dear; requests go elsewhere before any are
+ * refused. The better of two random ones is taken, so that many nodes with the same view do not all choose the same.
  */
 import type { LoadReport } from "../mesh/types.ts";
 
@@ -22,7 +22,7 @@
 
 /** Assumed while no target of the service has told its own. */
 const DEFAULT_SERVICE_MS = 40;
-/** Fill from which requests may have to wait. */
+/** Fill from which requests may have to wait; there the own data centre is no longer preferred. */
 const KNEE = 0.85;
 const QUEUE_WEIGHT = 4;
 /** How much slower the own data centre may be before requests go elsewhere. */
@@ -39,12 +39,20 @@
     const isFresh = report !== undefined && report.serviceMs > 0
         && now - candidate.reportedAt < REPORT_LIFE_MS;
     const serviceMs = isFresh ? report.serviceMs : usualMs;
-    const limit = Math.max(1, report?.limit ?? candidate.slots);
+    const over = Math.max(0, fillOf(candidate, now) - KNEE);
+    return serviceMs * (1 + over * QUEUE_WEIGHT);
+}
+
+/** Share of the slots that this request would find in use, above 1 where requests wait. */
+function fillOf(candidate: Candidate, now: number): number {
+    return (inUseOf(candidate, now) + 1) / Math.max(1, candidate.report?.limit ?? candidate.slots);
+}
+
+function inUseOf(candidate: Candidate, now: number): number {
+    const { report } = candidate;
     const belief = report === undefined ? 0 : Math.max(0, 1 - (now - candidate.reportedAt) / REPORT_LIFE_MS);
     const reported = report === undefined ? 0 : report.running + report.queued - candidate.pendingAtReport;
-    const inUse = candidate.pending + Math.max(0, reported) * belief;
-    const over = Math.max(0, (inUse + 1) / limit - KNEE);
-    return serviceMs * (1 + over * QUEUE_WEIGHT);
+    return candidate.pending + Math.max(0, reported) * belief;
 }
 
 /**
@@ -63,9 +71,9 @@
     }
     near.length = 0;
     for (const index of usable) {
-        if (candidates[index]!.isLocalDataCentre && times[index]! <= best * NEAR_FACTOR + NEAR_SLACK_MS) {
-            near.push(index);
-        }
+        const candidate = candidates[index]!;
+        if (!candidate.isLocalDataCentre || fillOf(candidate, now) > KNEE) continue;
+        if (times[index]! <= best * NEAR_FACTOR + NEAR_SLACK_MS) near.push(index);
     }
     return betterOfTwo(near.length > 0 ? near : usable, candidates, rand);
 }
--- a/src/policy/cutoff.ts
+++ b/src/policy/cutoff.ts
@@ -12,10 +12,12 @@
     readonly holdMs: number;
 }
 
-const DEFAULTS: CutoffOptions = { wantedWaitMs: 12, holdMs: 300 };
+const DEFAULTS: CutoffOptions = { wantedWaitMs: 20, holdMs: 300 };
 const MIN_CUT = 0.04;
 const MAX_CUT = 0.35;
-const FIRST_RAISE = 2;
+/** Requests that may wait for each slot without being overload. */
+const MAX_BACKLOG = 0.5;
+const FIRST_RAISE = 4;
 const MAX_RAISE = 64;
 /** Arrivals fade by this factor in each tick, so that the histogram covers about a second. */
 const FADING = 0.85;
@@ -60,12 +62,13 @@
         this.refused++;
     }
 
-    /** Ends a window. `fill` is the share of the slots in use, `backlog` the share of a full set of slots queued. */
-    tick(now: number, fill: number, backlog: number): void {
+    /** Ends a window. `backlog` is the number of requests that wait for each slot. */
+    tick(now: number, backlog: number): void {
         const meanWait = this.waits === 0 ? 0 : this.waitSum / this.waits;
-        const isOverloaded = meanWait > this.options.wantedWaitMs || this.refused > 0 || backlog > 0.3;
+        const isOverloaded = meanWait > this.options.wantedWaitMs || this.refused > 0
+            || backlog > MAX_BACKLOG;
         if (isOverloaded) this.lower(now, backlog);
-        else if (fill < 0.97 && backlog < 0.05) this.lift();
+        else if (meanWait < this.options.wantedWaitMs / 2) this.lift();
         for (let cell = 0; cell < CELLS; cell++) this.arrivals[cell]! *= FADING;
         this.waits = 0;
         this.waitSum = 0;
--- a/src/policy/retryAfter.ts
+++ b/src/policy/retryAfter.ts
@@ -14,6 +14,7 @@
 export function retryAfterMs(reason: RefusalReason, leftMs: number, rand: () => number): number {
     switch (reason) {
         case "overload":
+        case "failing-below":
         case "queue-timeout":
         case "target-shed":
         case "memory":
