--- /dev/null
+++ b/src/mesh/answers.ts
@@ -0,0 +1,20 @@
+/** Answers that a node gives on its own account. */
+import type { HttpAnswer } from "../http/leanServer.ts";
+import { retryAfterMs } from "../policy/retryAfter.ts";
+import type { RefusalReason } from "./types.ts";
+
+const EMPTY = Buffer.alloc(0);
+
+export function plainAnswer(status: number): HttpAnswer {
+    return { status, headers: "", body: EMPTY };
+}
+
+/** The request has not run and will not run; the caller may come back after the time told. */
+export function refusalAnswer(reason: RefusalReason, leftMs: number, rand: () => number): HttpAnswer {
+    const seconds = (retryAfterMs(reason, leftMs, rand) / 1000).toFixed(3);
+    return {
+        status: 503,
+        headers: `Retry-After: ${seconds}\r\nX-Refusal-Reason: ${reason}\r\n`,
+        body: EMPTY,
+    };
+}
--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -4,6 +4,7 @@
  */
 import * as v from "valibot";
 import type { Candidate } from "../policy/balancer.ts";
+import { MAX_LEVEL } from "../policy/level.ts";
 import type { LoadReport, NodeRecord } from "./types.ts";
 
 const TEXT = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
@@ -36,6 +37,8 @@
     reportedAt = 0;
     avoidUntil = 0;
     isLinked = false;
+    /** Level up to which the target admits requests, as its node last told. */
+    cutoff = MAX_LEVEL;
 
     constructor(
         public record: NodeRecord,
@@ -53,6 +56,7 @@
 
     noteReport(report: LoadReport, now: number): void {
         this.report = report;
+        this.cutoff = report.cutoff;
         this.reportedAt = now;
         this.pendingAtReport = this.pending;
     }
@@ -108,6 +112,7 @@
         }
         if (record.startedAt !== known.record.startedAt || record.target?.id !== known.record.target?.id) {
             known.report = undefined;
+            known.cutoff = MAX_LEVEL;
             known.avoidUntil = 0;
         }
         known.record = record;
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -6,12 +6,14 @@
 import type { HttpAnswer, Reply } from "../http/leanServer.ts";
 import type { Message } from "../http/messageReader.ts";
 import { chooseTarget } from "../policy/balancer.ts";
+import { EntryCutoffs } from "../policy/entryCutoff.ts";
 import { levelOf, MAX_LEVEL } from "../policy/level.ts";
-import { retryAfterMs } from "../policy/retryAfter.ts";
 import type { RetryBudget } from "../policy/retryBudget.ts";
 import { decideRetry } from "../policy/retryDecision.ts";
 import { RouteBreaker } from "../policy/routeBreaker.ts";
 import { findRoute, SplitChooser } from "../policy/routeTable.ts";
+import type { RouteUse, RouteUses } from "../policy/routeUses.ts";
+import { plainAnswer, refusalAnswer } from "./answers.ts";
 import { isTargetFault } from "./call.ts";
 import type { Call } from "./call.ts";
 import { steadyNow } from "./clock.ts";
@@ -40,6 +42,8 @@
     readonly log: EventLog;
     /** Sends to another node; returns a function that cancels. */
     readonly sendTo: (node: KnownNode, req: RunRequest, onOutcome: OnOutcome) => () => void;
+    readonly uses: RouteUses;
+    readonly onNewUse: (use: RouteUse) => void;
     readonly onConfigVersion: (node: KnownNode, version: number) => void;
     readonly rand?: () => number;
 }
@@ -52,10 +56,10 @@
 const NESTED_QUEUE_SHARE = 0.6;
 const TIMER_GRAIN_MS = 4;
 const AVOID_AFTER_FAILURE_MS = 250;
-const EMPTY = Buffer.alloc(0);
 
 export class Forwarder {
     private readonly splits = new SplitChooser();
+    private readonly cutoffs: EntryCutoffs;
     private readonly breaker = new RouteBreaker();
     private readonly rand: () => number;
     /** Scratch space of one choice of a target. */
@@ -64,6 +68,7 @@
 
     constructor(private readonly options: ForwarderOptions) {
         this.rand = options.rand ?? Math.random;
+        this.cutoffs = new EntryCutoffs(service => options.directory.ofService(service));
     }
 
     get activeCount(): number {
@@ -78,17 +83,17 @@
     handle(req: Message<RequestHead>, reply: Reply): (() => void) | undefined {
         const cfg = this.options.config();
         if (cfg === undefined) {
-            reply(this.refusal("no-config", DEFAULT_DEADLINE_MS));
+            reply(refusalAnswer("no-config", DEFAULT_DEADLINE_MS, this.rand));
             return undefined;
         }
         const { head } = req;
         if (head.requestId.length > MAX_ID_BYTES || head.requestId === "") {
-            reply(plain(400));
+            reply(plainAnswer(400));
             return undefined;
         }
         const route = findRoute(cfg, head.host, head.path);
         if (route === undefined) {
-            reply(plain(404));
+            reply(plainAnswer(404));
             return undefined;
         }
         const call = this.open(req, route, reply);
@@ -128,9 +133,10 @@
     /** Returns whether the call goes on. */
     private admit(call: Call): boolean {
         this.active++;
+        this.learnUse(call);
         if (call.parent === undefined) {
             this.options.budget.noteRequest(call.service, call.startedAt);
-            const cutoff = this.options.runner.cutoffs.cutoffOf(call.route.name, call.startedAt);
+            const cutoff = this.cutoffFor(call, call.startedAt);
             if (call.level > cutoff) {
                 this.refuse(call, "overload", cutoff);
                 return false;
@@ -150,6 +156,21 @@
         return !call.isDone;
     }
 
+    private cutoffFor(call: Call, now: number): number {
+        const own = this.cutoffs.cutoffOf(call.service, now);
+        return Math.min(own, this.cutoffs.lowestOf(this.options.uses.servicesOf(call.route.name), now));
+    }
+
+    /** Learns what the parent's route uses from a call that one of its runs makes. */
+    private learnUse(call: Call): void {
+        if (call.parent === undefined) return;
+        const { route } = call.parent.req;
+        const { uses } = this.options;
+        const isNew = uses.add(route, [call.service]);
+        const isNewBelow = uses.add(route, uses.servicesOf(call.route.name));
+        if (isNew || isNewBelow) this.options.onNewUse({ route, services: uses.servicesOf(route) });
+    }
+
     private attempt(call: Call, lastReason: RefusalReason = "no-target"): void {
         const now = steadyNow();
         const { nodes } = this;
@@ -190,7 +211,7 @@
         const { runner } = this.options;
         const run = runner.submit(
             this.runRequest(call, now),
-            outcome => onOutcome(outcome, runner.loadFor(call.route.name, 0)),
+            outcome => onOutcome(outcome, runner.load(0)),
         );
         return () => runner.cancel(run);
     }
@@ -221,9 +242,6 @@
         const now = steadyNow();
         if (load !== undefined) {
             node.noteReport(load, now);
-            const { cutoffs } = this.options.runner;
-            cutoffs.learn(call.route.name, load.cutoff, now);
-            if (call.parent !== undefined) cutoffs.learn(call.parent.req.route, load.cutoff, now);
             this.options.onConfigVersion(node, load.configVersion);
         }
         if (isTargetFault(outcome)) node.avoidUntil = now + AVOID_AFTER_FAILURE_MS;
@@ -243,7 +261,7 @@
             redirects: call.redirects,
             maxAttempts: call.route.maxAttempts,
             leftMs: call.endsAt - now,
-            isOverloaded: this.options.runner.cutoffs.cutoffOf(call.route.name, now) < MAX_LEVEL,
+            isOverloaded: this.cutoffFor(call, now) < MAX_LEVEL,
         });
         switch (decision.kind) {
             case "stop":
@@ -324,7 +342,7 @@
             configVersion: this.options.config()?.version,
             tookMs: Math.round(steadyNow() - call.startedAt),
         });
-        this.finish(call, this.refusal(reason, leftMs));
+        this.finish(call, refusalAnswer(reason, leftMs, this.rand));
     }
 
     private fail(call: Call, reason: FailureReason): void {
@@ -340,16 +358,7 @@
             configVersion: this.options.config()?.version,
             tookMs: Math.round(steadyNow() - call.startedAt),
         });
-        this.finish(call, plain(reason === "timeout" ? 504 : 502));
-    }
-
-    private refusal(reason: RefusalReason, leftMs: number): HttpAnswer {
-        const seconds = (retryAfterMs(reason, leftMs, this.rand) / 1000).toFixed(3);
-        return {
-            status: 503,
-            headers: `Retry-After: ${seconds}\r\nX-Refusal-Reason: ${reason}\r\n`,
-            body: EMPTY,
-        };
+        this.finish(call, plainAnswer(reason === "timeout" ? 504 : 502));
     }
 
     private onTimeout(call: Call): void {
@@ -377,7 +386,3 @@
         if (call.timer !== undefined) clearTimeout(call.timer);
     }
 }
-
-function plain(status: number): HttpAnswer {
-    return { status, headers: "", body: EMPTY };
-}
--- a/src/mesh/frameSocket.ts
+++ b/src/mesh/frameSocket.ts
@@ -127,6 +127,7 @@
             case "request":
             case "response":
             case "cancel":
+            case "cutoff":
                 this.options.onFrame(frame);
         }
     }
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -14,6 +14,8 @@
         readonly load: LoadReport;
     }
     | { readonly type: "cancel"; readonly stream: number; }
+    /** The cut-off of the sender's target has changed; it stands in the place of the number. */
+    | { readonly type: "cutoff"; readonly stream: number; }
     | { readonly type: "ping"; readonly stream: number; }
     | { readonly type: "pong"; readonly stream: number; }
     | { readonly type: "rpc"; readonly message: string; };
@@ -31,6 +33,9 @@
 const PING = 4;
 const PONG = 5;
 const RPC = 6;
+const CUTOFF = 7;
+
+const SIGNALS = { cancel: CANCEL, ping: PING, pong: PONG, cutoff: CUTOFF } as const;
 
 const ANSWER = 0;
 const NOT_RUN = 1;
@@ -112,9 +117,9 @@
     }
 }
 
-export function encodeSignal(type: "cancel" | "ping" | "pong", stream: number): Buffer {
+export function encodeSignal(type: keyof typeof SIGNALS, stream: number): Buffer {
     const buf = Buffer.allocUnsafe(HEADER_BYTES);
-    return finish(buf, header(buf, type === "cancel" ? CANCEL : type === "ping" ? PING : PONG, stream));
+    return finish(buf, header(buf, SIGNALS[type], stream));
 }
 
 export function encodeRpc(message: string): Buffer {
@@ -173,6 +178,8 @@
             return decodeResponse(buf, stream);
         case CANCEL:
             return { type: "cancel", stream };
+        case CUTOFF:
+            return { type: "cutoff", stream };
         case PING:
             return { type: "ping", stream };
         case PONG:
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -3,8 +3,10 @@
  * Nodes find each other through records in the store and then tell each other directly what changes.
  */
 import { LeanServer } from "../http/leanServer.ts";
+import { MAX_LEVEL } from "../policy/level.ts";
 import { RetryBudget } from "../policy/retryBudget.ts";
 import type { RetryBudgetOptions } from "../policy/retryBudget.ts";
+import { RouteUses } from "../policy/routeUses.ts";
 import { steadyNow } from "./clock.ts";
 import type { ControlStore } from "./controlStore.ts";
 import { Counters } from "./counters.ts";
@@ -66,6 +68,8 @@
     private readonly peerServer: PeerServer;
     private readonly budget: RetryBudget;
     private readonly register: TargetRegister;
+    private readonly uses = new RouteUses();
+    private toldCutoff = MAX_LEVEL;
     private config: MeshConfig | undefined;
     private service: string;
     private serial = 0;
@@ -89,6 +93,7 @@
             configVersion: () => this.configVersion,
             encodedConfig: () => this.config?.encoded,
             onConfig: (encoded, from) => this.onConfig(encoded, from),
+            uses: this.uses,
             onCount: nodes => this.budget.setNodes(nodes),
         });
         this.forwarder = new Forwarder({
@@ -100,6 +105,8 @@
             counters: this.counters,
             log: options.log,
             sendTo: (node, req, onOutcome) => this.peers.send(node, req, onOutcome),
+            uses: this.uses,
+            onNewUse: use => this.peers.tellUses([use]),
             onConfigVersion: (node, version) => this.peers.onVersion(node, version),
         });
         this.clients = new LeanServer({
@@ -210,12 +217,22 @@
     private tick(): void {
         const now = steadyNow();
         this.runner.tick(now);
+        this.tellCutoff();
         this.peers.tick(now);
         if (++this.ticks % TICKS_PER_SECOND !== 0) return;
         this.peerServer.tick(now);
         this.clients.checkTimeouts(now);
     }
 
+    private tellCutoff(): void {
+        const { cutoffLevel } = this.runner;
+        if (cutoffLevel === this.toldCutoff) return;
+        this.toldCutoff = cutoffLevel;
+        this.peerServer.tellCutoff(cutoffLevel);
+        const own = this.directory.get(this.options.name);
+        if (own !== undefined) own.cutoff = cutoffLevel;
+    }
+
     private onTargetRecord(before: TargetRecord | undefined): void {
         const { record } = this.register;
         this.runner.setTarget(record);
--- a/src/mesh/peerLink.ts
+++ b/src/mesh/peerLink.ts
@@ -13,6 +13,7 @@
     readonly rpcServer: JSONRPCServer;
     readonly onUp: (link: PeerLink) => void;
     readonly onDown: (link: PeerLink) => void;
+    readonly onCutoff: (cutoff: number) => void;
     readonly version: () => number;
     readonly onVersion: (version: number) => void;
 }
@@ -115,6 +116,7 @@
     }
 
     private onFrame(frame: DataFrame): void {
+        if (frame.type === "cutoff") this.options.onCutoff(frame.stream);
         if (frame.type !== "response") return;
         const onOutcome = this.pending.get(frame.stream);
         if (onOutcome === undefined) return;
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -1,7 +1,7 @@
 /** The listener for other nodes: hands their requests to the runner and sends the outcomes back. */
 import type { JSONRPCServer } from "json-rpc-2.0";
 import net from "node:net";
-import { encodeResponse } from "./frames.ts";
+import { encodeResponse, encodeSignal } from "./frames.ts";
 import { FrameSocket } from "./frameSocket.ts";
 import type { DataFrame } from "./frameSocket.ts";
 import type { Run, Runner } from "./runner.ts";
@@ -46,6 +46,7 @@
                 this.cancel(frame.stream);
                 return;
             case "response":
+            case "cutoff":
         }
     }
 
@@ -55,7 +56,7 @@
             isOver = true;
             this.runs.delete(stream);
             const { runner, configVersion } = this.options;
-            this.frames.write(encodeResponse(stream, outcome, runner.loadFor(req.route, configVersion())));
+            this.frames.write(encodeResponse(stream, outcome, runner.load(configVersion())));
         };
         if (this.options.isStopping()) {
             reply({ kind: "not-run", reason: "stopping" });
@@ -92,6 +93,11 @@
         for (const conn of this.connections) conn.frames.notify(method, params);
     }
 
+    /** Tells all connected nodes the cut-off of the target here. */
+    tellCutoff(cutoff: number): void {
+        for (const conn of this.connections) conn.frames.write(encodeSignal("cutoff", cutoff));
+    }
+
     tick(now: number): void {
         for (const conn of this.connections) conn.frames.tick(now, false);
     }
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -3,6 +3,8 @@
  * nodes themselves; changes here are told to all that are connected, without the store.
  */
 import { JSONRPCServer } from "json-rpc-2.0";
+import * as v from "valibot";
+import type { RouteUse, RouteUses } from "../policy/routeUses.ts";
 import { steadyNow } from "./clock.ts";
 import { Directory, safeParseNodeRecord } from "./directory.ts";
 import type { KnownNode } from "./directory.ts";
@@ -21,9 +23,14 @@
     /** The configuration in force, encoded; `undefined` before there is one. */
     readonly encodedConfig: () => Buffer | undefined;
     readonly onConfig: (encoded: Buffer, from: string) => void;
+    readonly uses: RouteUses;
     readonly onCount: (nodes: number) => void;
 }
 
+const usesSchema = v.object({
+    uses: v.array(v.object({ route: v.string(), services: v.array(v.string()) })),
+});
+
 type Greeted = Pick<FrameSocket, "notify" | "request">;
 
 /** Time for the store to bring a configuration that a peer already has. */
@@ -75,11 +82,18 @@
         for (const link of this.links.values()) link.notify("node.update", update);
     }
 
+    /** Tells all connected nodes of services that a route was seen to use. */
+    tellUses(uses: readonly RouteUse[]): void {
+        for (const link of this.links.values()) link.notify("routes.use", { uses });
+    }
+
     greet(frames: Greeted): void {
         frames.notify("node.hello", {
             record: this.options.ownRecord(),
             configVersion: this.options.configVersion(),
         });
+        const uses = this.options.uses.all();
+        if (uses.length > 0) frames.notify("routes.use", { uses });
         this.askForNodes(frames);
     }
 
@@ -104,6 +118,7 @@
     private addRpcMethods(): void {
         this.rpcServer.addMethod("node.hello", (params: unknown) => this.onUpdate(params));
         this.rpcServer.addMethod("node.update", (params: unknown) => this.onUpdate(params));
+        this.rpcServer.addMethod("routes.use", (params: unknown) => this.onUses(params));
         this.rpcServer.addMethod("nodes.list", () => [...this.directory.all()].map(node => node.record));
         this.rpcServer.addMethod(
             "config.fetch",
@@ -125,6 +140,12 @@
         );
     }
 
+    private onUses(params: unknown): void {
+        const result = v.safeParse(usesSchema, params);
+        if (!result.success) return;
+        for (const { route, services } of result.output.uses) this.options.uses.add(route, services);
+    }
+
     private onUpdate(params: unknown): void {
         if (typeof params !== "object" || params === null) return;
         const { record, configVersion } = params as Readonly<Record<string, unknown>>;
@@ -167,6 +188,9 @@
             rpcServer: this.rpcServer,
             version: this.options.configVersion,
             onVersion: version => this.onVersion(node, version),
+            onCutoff: cutoff => {
+                node.cutoff = cutoff;
+            },
             onUp: up => {
                 node.isLinked = true;
                 this.greet(up);
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -3,7 +3,6 @@
  * All requests of a target pass here, so its use of slots is known exactly and the target itself never has to shed.
  */
 import { Cutoff } from "../policy/cutoff.ts";
-import { RouteCutoffs } from "../policy/routeCutoff.ts";
 import { PriorityQueue } from "../policy/runQueue.ts";
 import type { Waiting } from "../policy/runQueue.ts";
 import { steadyNow } from "./clock.ts";
@@ -49,7 +48,6 @@
 const METHODS_WITH_BODY: readonly string[] = ["POST", "PUT", "PATCH"];
 
 export class Runner {
-    readonly cutoffs = new RouteCutoffs();
     private readonly cutoff = new Cutoff();
     private readonly queue = new PriorityQueue<Run>();
     private readonly running = new Map<string, Run>();
@@ -82,9 +80,14 @@
         return this.running.get(requestId);
     }
 
-    loadFor(route: string, configVersion: number): LoadReport {
+    /** Level up to which requests are admitted at present. */
+    get cutoffLevel(): number {
+        return this.cutoff.value;
+    }
+
+    load(configVersion: number): LoadReport {
         return {
-            cutoff: Math.min(this.cutoff.value, this.cutoffs.cutoffOf(route, steadyNow())),
+            cutoff: this.cutoff.value,
             running: this.inUse,
             queued: this.queue.length,
             limit: this.limit,
--- a/src/policy/cutoff.ts
+++ b/src/policy/cutoff.ts
@@ -12,7 +12,7 @@
     readonly holdMs: number;
 }
 
-const DEFAULTS: CutoffOptions = { wantedWaitMs: 20, holdMs: 300 };
+const DEFAULTS: CutoffOptions = { wantedWaitMs: 15, holdMs: 300 };
 const MIN_CUT = 0.04;
 const MAX_CUT = 0.35;
 /** Requests that may wait for each slot without being overload. */
--- a/src/policy/retryAfter.ts
+++ b/src/policy/retryAfter.ts
@@ -9,12 +9,15 @@
 const MIN_SPREAD_MS = 80;
 const MAX_SPREAD_MS = 1500;
 /** Callers honour a wait of up to a third of the time that they have left. */
+const MAX_FAILING_MS = 5000;
 const SPREAD_SHARE = 0.3;
 
 export function retryAfterMs(reason: RefusalReason, leftMs: number, rand: () => number): number {
     switch (reason) {
-        case "overload":
         case "failing-below":
+            // What fails below seldom recovers soon; the caller has one more try and is best served by a late one.
+            return Math.min(MAX_FAILING_MS, leftMs * SPREAD_SHARE * (0.8 + 0.3 * rand()));
+        case "overload":
         case "queue-timeout":
         case "target-shed":
         case "memory":
--- /dev/null
+++ b/src/policy/routeUses.ts
@@ -0,0 +1,43 @@
+/**
+ * Which services the requests of a route reach, directly or through the calls that their runs make. Each node learns
+ * this from the calls that pass it and tells the others, so that the entry can tell by the load of the last service of
+ * a chain whether a request would be served.
+ */
+export interface RouteUse {
+    readonly route: string;
+    readonly services: readonly string[];
+}
+
+/** Routes remembered at most; routes come from the configuration, so this is a bound against misuse. */
+const MAX_ROUTES = 5000;
+
+export class RouteUses {
+    private readonly uses = new Map<string, string[]>();
+
+    servicesOf(route: string): readonly string[] {
+        return this.uses.get(route) ?? NONE;
+    }
+
+    /** Adds services to those of a route; returns whether any was new. */
+    add(route: string, services: readonly string[]): boolean {
+        const known = this.uses.get(route);
+        if (known === undefined) {
+            if (services.length === 0 || this.uses.size >= MAX_ROUTES) return false;
+            this.uses.set(route, [...new Set(services)]);
+            return true;
+        }
+        let isNew = false;
+        for (const service of services) {
+            if (known.includes(service)) continue;
+            known.push(service);
+            isNew = true;
+        }
+        return isNew;
+    }
+
+    all(): readonly RouteUse[] {
+        return [...this.uses].map(([route, services]) => ({ route, services }));
+    }
+}
+
+const NONE: readonly string[] = [];
--- a/test/mesh/policy.test.ts
+++ b/test/mesh/policy.test.ts
@@ -3,14 +3,15 @@
 import type { Candidate } from "../../src/policy/balancer.ts";
 import { chooseTarget } from "../../src/policy/balancer.ts";
 import { Cutoff } from "../../src/policy/cutoff.ts";
+import { EntryCutoffs } from "../../src/policy/entryCutoff.ts";
 import { BUCKETS, levelOf, MAX_LEVEL } from "../../src/policy/level.ts";
 import { retryAfterMs } from "../../src/policy/retryAfter.ts";
 import { RetryBudget } from "../../src/policy/retryBudget.ts";
 import { decideRetry } from "../../src/policy/retryDecision.ts";
 import type { Attempted } from "../../src/policy/retryDecision.ts";
 import { RouteBreaker } from "../../src/policy/routeBreaker.ts";
-import { RouteCutoffs } from "../../src/policy/routeCutoff.ts";
 import { findRoute, SplitChooser } from "../../src/policy/routeTable.ts";
+import { RouteUses } from "../../src/policy/routeUses.ts";
 import { PriorityQueue } from "../../src/policy/runQueue.ts";
 import { makeConfig, makeRoute } from "../support/meshFixtures.ts";
 
@@ -138,14 +139,28 @@
     });
 });
 
-describe("cut-off of a route at the entry", () => {
-    it("follows what answers tell and rises without news", () => {
-        const cutoffs = new RouteCutoffs();
-        expect(cutoffs.cutoffOf("r", 0)).to.equal(MAX_LEVEL);
-        for (let index = 0; index < 200; index++) cutoffs.learn("r", 300, index);
-        expect(cutoffs.cutoffOf("r", 200)).to.be.within(295, 310);
-        expect(cutoffs.cutoffOf("r", 1500)).to.be.greaterThan(400);
-        expect(cutoffs.cutoffOf("r", 10_000)).to.equal(MAX_LEVEL);
+describe("cut-off at the entry", () => {
+    const target = (cutoff: number, isUsable = true) => ({ cutoff, isUsable });
+
+    it("follows the service with the least room below a route", () => {
+        const targets = new Map([
+            ["a", [target(MAX_LEVEL)]],
+            ["b", [target(200), target(300), target(0, false)]],
+        ]);
+        const cutoffs = new EntryCutoffs(service => targets.get(service) ?? []);
+        expect(cutoffs.lowestOf(["a"], 0)).to.equal(MAX_LEVEL);
+        expect(cutoffs.lowestOf(["a", "b", "unknown"], 0)).to.equal(250);
+        targets.set("b", [target(MAX_LEVEL)]);
+        expect(cutoffs.lowestOf(["a", "b"], 100)).to.equal(MAX_LEVEL);
+    });
+
+    it("knows the services that a route uses through others", () => {
+        const uses = new RouteUses();
+        expect(uses.add("r", ["b"])).to.equal(true);
+        expect(uses.add("r", ["b"])).to.equal(false);
+        expect(uses.add("r", ["c", "b"])).to.equal(true);
+        expect(uses.servicesOf("r")).to.deep.equal(["b", "c"]);
+        expect(uses.servicesOf("other")).to.deep.equal([]);
     });
 });
 
