--- a/bench/platformCpu.ts
+++ b/bench/platformCpu.ts
@@ -60,7 +60,9 @@
 address = "127.0.0.1:${storePort}"
 `,
     );
-    const flags = profileDir === undefined ? [] : ["--cpu-prof", `--cpu-prof-dir=${profileDir}`];
+    const flags = profileDir === undefined
+        ? (process.env["NODE_FLAGS"] ?? "").split(" ").filter(flag => flag !== "")
+        : ["--cpu-prof", `--cpu-prof-dir=${profileDir}`];
     return spawn(process.execPath, [...flags, "--max-semi-space-size=4", "target/filbertspool.cjs"], {
         env: { PATH: process.env["PATH"], FILBERTSPOOL_BOOT: path },
         stdio: ["ignore", "ignore", "inherit"],
--- a/src/mesh/eventLog.ts
+++ b/src/mesh/eventLog.ts
@@ -22,6 +22,7 @@
 const BLOCK_BYTES = 4096;
 const MAX_HELD_BYTES = 512 * 1024;
 const FLUSH_MS = 1000;
+const FLUSH_TIMEOUT_MS = 100;
 
 interface Bucket {
     tokens: number;
@@ -34,12 +35,12 @@
     private readonly buckets = new Map<string, Bucket>();
     private readonly rate: number;
     private droppedBytes = 0;
-    private readonly flushNow: () => void;
+    private readonly flushNow: (onDone: () => void) => void;
 
     constructor(options: EventLogOptions = {}) {
         this.rate = options.ratePerKind ?? DEFAULT_RATE;
         const destination = options.write === undefined ? this.standardOutput() : { write: options.write };
-        this.flushNow = "flushSync" in destination ? () => destination.flushSync() : () => undefined;
+        this.flushNow = "flush" in destination ? onDone => destination.flush(onDone) : onDone => onDone();
         this.logger = pino(
             { base: options.base ?? {}, timestamp: pino.stdTimeFunctions.epochTime },
             destination,
@@ -64,13 +65,12 @@
         this.logger.info({ event: kind, ...fields });
     }
 
-    flush(): void {
-        try {
-            this.flushNow();
-        }
-        catch {
-            // The reader of the log is gone or does not read; a node ends without waiting for it.
-        }
+    /** Writes what is held; resolves after a bounded time even if the reader of the log does not read. */
+    flush(): Promise<void> {
+        return new Promise(resolve => {
+            setTimeout(resolve, FLUSH_TIMEOUT_MS);
+            this.flushNow(resolve);
+        });
     }
 
     private standardOutput(): ReturnType<typeof pino.destination> {
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -56,8 +56,8 @@
 };
 /** After a stop signal, clients may still send for this long: they leave only when readiness has failed twice. */
 const STOP_LINGER_MS = 2300;
-/** Time left before the end of the grace period at which the process ends whatever is in progress. */
-const STOP_RESERVE_MS = 300;
+/** Time left before the end of the grace period at which the process ends whatever is in progress: exits take time. */
+const STOP_RESERVE_MS = 800;
 
 export class MeshNode {
     readonly counters = new Counters();
