--- /dev/null
+++ b/test/platform/adapter.test.ts
@@ -0,0 +1,102 @@
+/** The adapter's boundary: settings, configuration and seals, with clear errors for what is not valid. */
+import { expect } from "chai";
+import { parseDuration, parseSettings, SettingsError } from "../../platform/settings.ts";
+import { decodeConfig } from "../../platform/wireConfig.ts";
+import { isSealedLength } from "../../platform/wireHeaders.ts";
+import { wireConfig, wireRoute } from "../support/platformMesh.ts";
+
+const SETTINGS = `node = "n-1"
+role = "node"
+ip = "10.1.0.8"
+zone = "a"
+internal_port_range = [7620,7635]
+bounds = ["grace=6s","retry_budget_ratio=0.2","budget_window=10s","budget_slack=48"]
+app_addr = "10.1.0.8:8301"
+service = "shop"
+unknown_field = { later = true }
+[listen]
+inbound = "10.1.0.8:8300"
+outbound = "10.1.0.8:8304"
+ready = "10.1.0.8:8302"
+control = "10.1.0.8:8306"
+[platform]
+address = "10.200.1.7:8309"
+`;
+
+function faultOf(text: string): string {
+    try {
+        parseSettings(text, "s.toml");
+        return "";
+    }
+    catch (err) {
+        expect(err).to.be.instanceOf(SettingsError);
+        return (err as Error).message;
+    }
+}
+
+describe("platform adapter", () => {
+    it("reads settings and ignores what it does not know", () => {
+        expect(parseSettings(SETTINGS, "s.toml")).to.deep.include({
+            nodeName: "n-1",
+            dataCentre: "a",
+            service: "shop",
+            target: { host: "10.1.0.8", port: 8301 },
+            peer: { host: "10.1.0.8", port: 7620 },
+            graceMs: 6000,
+            retryRatio: 0.2,
+            retrySlack: 48,
+            retryWindowMs: 10_000,
+        });
+    });
+
+    it("names the field of a setting that is missing or wrong", () => {
+        expect(faultOf(SETTINGS.replace("app_addr", "app"))).to.contain("s.toml: app_addr");
+        expect(faultOf(SETTINGS.replace("10.1.0.8:8304", "nowhere"))).to.contain(
+            "listen.outbound: must be IP:port",
+        );
+        expect(faultOf(`${SETTINGS}\n= 3`)).to.match(/s\.toml:\d+: not TOML/);
+    });
+
+    it("reads durations with their unit only", () => {
+        expect(["1500ms", "2.5s", "3", 3, "x"].map(parseDuration)).to.deep.equal([
+            1500,
+            2500,
+            undefined,
+            undefined,
+            undefined,
+        ]);
+    });
+
+    it("decodes a configuration, the longest prefix first", () => {
+        const split = [{ service: "shop", weight: 90 }, { service: "stock", weight: 10 }];
+        const paths = [
+            wireRoute({ path_prefix: "/a/" }),
+            wireRoute({ path_prefix: "/a/b/", kind: "unsafe", service: undefined, traffic_split: split }),
+        ];
+        const config = decodeConfig(Buffer.from(JSON.stringify(wireConfig(12, paths))))!;
+        expect(config.version).to.equal(12);
+        const [first, second] = config.hosts.get("shop.example")!;
+        expect(first).to.include({ pathPrefix: "/a/b/", isIdempotent: false });
+        expect(first!.services).to.deep.equal(split);
+        expect(second).to.include({ pathPrefix: "/a/", isIdempotent: true, timeoutMs: 3000 });
+        expect(second!.services).to.deep.equal([{ service: "shop", weight: 1 }]);
+    });
+
+    it("takes unreadable and forged configurations for none", () => {
+        const forged = [
+            "",
+            "null",
+            "{\"version\":\"r3\"}",
+            JSON.stringify({ ...wireConfig(1), version: 3 }),
+            JSON.stringify(wireConfig(1, [wireRoute({ timeout: 300 })])),
+            JSON.stringify(wireConfig(1, [wireRoute({ path_prefix: "a" })])),
+        ];
+        for (const text of forged) expect(decodeConfig(Buffer.from(text)), text).to.equal(undefined);
+    });
+
+    it("checks the length that a seal states, where it states one", () => {
+        expect(isSealedLength("e.14208.258.0.1501defa", 600)).to.equal(true);
+        expect(isSealedLength("e.14208.258.0.1501defa", 213)).to.equal(false);
+        expect(isSealedLength("other", 213)).to.equal(true);
+    });
+});
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -240,6 +240,41 @@
         node.close();
     });
 
+    it("shows each refusal and repeat in the metrics and in the log", async () => {
+        await startShop();
+        const [edge, ...shops] = mesh.hosts;
+        for (const { app } of shops) app.mode = "shed";
+        await edge!.send({ path: "/unsafe/", id: "shed-1", method: "POST" });
+        for (const { app } of shops) app.mode = "hang-up";
+        await edge!.send({ path: "/unsafe/", id: "lost-1", method: "POST" });
+        const { body } = await sendRequest({
+            port: edge!.settings.metrics.port,
+            host: HOST,
+            path: "/metrics",
+            id: "x",
+        });
+        expect(body).to.contain("filbertspool_refused_total{reason=\"target-shed\"} 1");
+        expect(body).to.contain("filbertspool_repeated_total{reason=\"target-shed\"} 1");
+        expect(body).to.contain("filbertspool_failed_total{reason=\"connection-lost\"} 1");
+        expect(body).to.contain("filbertspool_config_version 1");
+        const lines = edge!.log.map(line => JSON.parse(line) as Record<string, unknown>);
+        expect(lines.find(({ event }) => event === "refused")).to.include({
+            id: "shed-1",
+            route: "r-unsafe",
+            service: "shop",
+            reason: "target-shed",
+            configVersion: 1,
+        });
+        expect(lines.find(({ event }) => event === "repeated")).to.include({
+            id: "shed-1",
+            reason: "target-shed",
+        });
+        expect(lines.find(({ event }) => event === "failed")).to.include({
+            id: "lost-1",
+            reason: "connection-lost",
+        });
+    });
+
     it("ends a planned stop without cutting a request", async () => {
         await startShop();
         const [edge, one, two] = mesh.hosts;
