Compute the cut-off from the demand of each priority

Ruled out: late feedback (the model tells entries within a tick). Change: the rate that a saturated target serves, less a part for its queue, is the goal; the demand of each priority follows from the arrivals below the admitted level; the cut-off is the level at which the goal is used up.

--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -79,6 +79,11 @@
         return this.active;
     }
 
+    /** Level up to which requests for a service are admitted at present, as far as its own load goes. */
+    entryLevel(service: string): number {
+        return this.cutoffs.cutoffOf(service, steadyNow());
+    }
+
     onNewConfig(): void {
         this.splits.reset();
     }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -84,7 +84,12 @@
         this.service = options.service;
         this.register = new TargetRegister(`${options.target.host}:${options.target.port}`);
         this.budget = new RetryBudget(options.retryBudget);
-        this.runner = new Runner({ ...options.target, counters: this.counters, protocol: options.protocol });
+        this.runner = new Runner({
+            ...options.target,
+            counters: this.counters,
+            protocol: options.protocol,
+            entryLevel: service => this.forwarder.entryLevel(service),
+        });
         this.peers = new Peers({
             name: options.name,
             dataCentre: options.dataCentre,
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -27,6 +27,8 @@
     readonly port: number;
     readonly counters: Counters;
     readonly protocol: TargetProtocol;
+    /** Level up to which entries admit requests for a service. */
+    readonly entryLevel: (service: string) => number;
 }
 
 /** Part of the announced slots that is used: targets slow down when they are full, and probes need a slot too. */
@@ -159,7 +161,7 @@
     /** Called every 100 ms. */
     tick(now: number): void {
         const limit = Math.max(1, this.limit);
-        this.cutoff.tick(now, this.queue.length / limit);
+        this.cutoff.tick(this.queue.length / limit, this.options.entryLevel(this.target?.service ?? ""));
         this.pool.closeStale(now);
         this.giveUpOverdue(now);
         this.giveUpSilent(now);
@@ -184,6 +186,7 @@
         if (target.service !== run.req.service) return "wrong-service";
         if (now < this.downUntil || this.isSilentFor(now)) return "target-down";
         if (run.req.leftMs <= DEADLINE_MARGIN_MS) return "deadline";
+        this.cutoff.noteArrival(run.level);
         if (!run.req.isNested && !this.cutoff.isAdmitted(run.level)) return "overload";
         return undefined;
     }
@@ -234,7 +237,6 @@
         const target = this.target!;
         if (this.inUse === 0) this.lastProgressAt = now;
         this.inUse++;
-        this.cutoff.noteArrival(run.level);
         this.cutoff.noteStart(now - run.arrivedAt);
         run.startedAt = now;
         this.running.set(run.req.requestId, run);
--- a/src/policy/cutoff.ts
+++ b/src/policy/cutoff.ts
@@ -1,38 +1,51 @@
 /**
- * The admission cut-off of one target. While requests wait longer for a slot than wanted, the cut-off falls to the
- * level that admits the share of the recent arrivals which the target could serve; without pressure it rises again,
- * in steps that double. Levels and their feedback to callers follow DAGOR; the rate of change is our own.
+ * The admission cut-off of one target. The level of a request is uniform within its priority, so the arrivals up to
+ * the admitted level give the demand of a whole priority, and the cut-off that lets a wanted rate pass is computed
+ * instead of searched. Under pressure the wanted rate is what the target serves, less what it takes to work off the
+ * queue; without pressure it grows. Levels and their feedback to callers follow DAGOR; the rate control is our own.
  */
 import { BUCKETS, MAX_LEVEL } from "./level.ts";
 
 export interface CutoffOptions {
     /** Longest mean wait for a slot that is not overload. */
     readonly wantedWaitMs: number;
-    /** Shortest time between two cuts: the effect of a cut is seen only after requests in progress have ended. */
-    readonly holdMs: number;
 }
 
-const DEFAULTS: CutoffOptions = { wantedWaitMs: 15, holdMs: 300 };
-const MIN_CUT = 0.04;
-const MAX_CUT = 0.35;
+const DEFAULTS: CutoffOptions = { wantedWaitMs: 15 };
+const PRIORITIES = (MAX_LEVEL + 1) / BUCKETS;
 /** Requests that may wait for each slot without being overload. */
 const MAX_BACKLOG = 0.5;
-const FIRST_RAISE = 4;
-const MAX_RAISE = 64;
-/** Arrivals fade by this factor in each tick, so that the histogram covers about a second. */
-const FADING = 0.85;
-const STEP = 8;
-const CELLS = (MAX_LEVEL + 1) / STEP;
+/** Part of the rate that is held back for each full set of slots that waits. */
+const BACKLOG_GAIN = 0.12;
+const MIN_GOAL_SHARE = 0.6;
+const SMOOTHING = 0.25;
+/** Growth of the wanted rate in a window without pressure; it doubles with each further one. */
+const FIRST_RAISE = 0.02;
+const MAX_RAISE = 0.16;
+/** A part of a priority smaller than this says too little of the whole. */
+const SMALLEST_PART = 8 / BUCKETS;
+/** What is remembered of a priority that is not admitted fades by this factor in each window. */
+const FADING = 0.99;
+/** Windows after which a change of the admitted level shows in the arrivals. */
+const DELAY_TICKS = 2;
+/** Part of the most important priority that is always admitted, so that the effect of a cut can be seen. */
+const LOWEST_LEVEL = BUCKETS / 8;
 
 export class Cutoff {
     private readonly options: CutoffOptions;
-    private readonly arrivals = new Float64Array(CELLS);
+    private readonly arrivals = new Float64Array(PRIORITIES);
+    /** Requests a window by priority, refused ones included. */
+    private readonly demand = new Float64Array(PRIORITIES);
+    /** Levels admitted in the last windows, the latest last. */
+    private readonly admitted: number[] = [];
     private level = MAX_LEVEL;
+    /** Requests a window that the target serves when it is saturated. */
+    private capacity = 0;
+    private goal = Infinity;
     private raise = FIRST_RAISE;
-    private lastCutAt = -Infinity;
-    private waits = 0;
+    private starts = 0;
     private waitSum = 0;
-    private refused = 0;
+    private lost = 0;
 
     constructor(options: Partial<CutoffOptions> = {}) {
         this.options = { ...DEFAULTS, ...options };
@@ -46,61 +59,77 @@
         return level <= this.level;
     }
 
-    /** Notes a request that was admitted, whether it waits or not. */
+    /** Notes a request that came this far, whether it gets a slot or not. */
     noteArrival(level: number): void {
-        this.arrivals[Math.floor(Math.min(level, MAX_LEVEL) / STEP)]! += 1;
+        this.arrivals[Math.min(PRIORITIES - 1, Math.floor(level / BUCKETS))]! += 1;
     }
 
     /** Notes a request that got a slot. */
     noteStart(waitedMs: number): void {
-        this.waits++;
+        this.starts++;
         this.waitSum += waitedMs;
     }
 
     /** Notes a request that got no slot in its time. */
     noteLost(): void {
-        this.refused++;
+        this.lost++;
     }
 
-    /** Ends a window. `backlog` is the number of requests that wait for each slot. */
-    tick(now: number, backlog: number): void {
-        const meanWait = this.waits === 0 ? 0 : this.waitSum / this.waits;
-        const isOverloaded = meanWait > this.options.wantedWaitMs || this.refused > 0
-            || backlog > MAX_BACKLOG;
-        if (isOverloaded) this.lower(now, backlog);
-        else if (meanWait < this.options.wantedWaitMs / 2) this.lift();
-        for (let cell = 0; cell < CELLS; cell++) this.arrivals[cell]! *= FADING;
-        this.waits = 0;
+    /**
+     * Ends a window. `backlog` is the number of requests that wait for each slot, `entryLevel` the level up to which
+     * the entries admit, which may be that of other targets too.
+     */
+    tick(backlog: number, entryLevel = this.level): void {
+        this.learnDemand(entryLevel);
+        const meanWait = this.starts === 0 ? 0 : this.waitSum / this.starts;
+        if (meanWait > this.options.wantedWaitMs || this.lost > 0 || backlog > MAX_BACKLOG) {
+            this.lower(backlog);
+        }
+        else if (this.level < MAX_LEVEL) this.lift();
+        this.arrivals.fill(0);
+        this.starts = 0;
         this.waitSum = 0;
-        this.refused = 0;
+        this.lost = 0;
     }
 
-    private lower(now: number, backlog: number): void {
+    private learnDemand(entryLevel: number): void {
+        this.admitted.push(entryLevel);
+        if (this.admitted.length > DELAY_TICKS + 1) this.admitted.shift();
+        const level = this.admitted[0]!;
+        for (let priority = 0; priority < PRIORITIES; priority++) {
+            const part = Math.min(1, Math.max(0, (level + 1 - priority * BUCKETS) / BUCKETS));
+            if (part < SMALLEST_PART) this.demand[priority]! *= FADING;
+            else {this.demand[priority]! += SMOOTHING
+                    * (this.arrivals[priority]! / part - this.demand[priority]!);}
+        }
+    }
+
+    private lower(backlog: number): void {
         this.raise = FIRST_RAISE;
-        if (now - this.lastCutAt < this.options.holdMs) return;
-        this.lastCutAt = now;
-        const served = this.waits + 1;
-        const excess = Math.max(this.refused / (served + this.refused), backlog / 4);
-        const cut = Math.min(MAX_CUT, Math.max(MIN_CUT, excess));
-        this.level = Math.min(this.level - 1, this.levelOfShare(1 - cut));
-        // The most important bucket of priority 0 stays admitted, so that the effect of a cut can be seen.
-        this.level = Math.max(this.level, BUCKETS / 8);
+        this.capacity = this.capacity === 0
+            ? this.starts
+            : this.capacity + SMOOTHING * (this.starts - this.capacity);
+        this.goal = this.capacity * Math.max(MIN_GOAL_SHARE, 1 - BACKLOG_GAIN * backlog);
+        this.level = Math.max(LOWEST_LEVEL, this.levelFor(this.goal));
     }
 
     private lift(): void {
-        this.level = Math.min(MAX_LEVEL, this.level + this.raise);
+        this.goal *= 1 + this.raise;
         this.raise = Math.min(MAX_RAISE, this.raise * 2);
+        this.level = Math.max(this.level + 1, this.levelFor(this.goal));
+        if (this.level >= MAX_LEVEL) {
+            this.level = MAX_LEVEL;
+            this.raise = FIRST_RAISE;
+        }
     }
 
-    /** The level below which this share of the recent arrivals lies. */
-    private levelOfShare(share: number): number {
-        let total = 0;
-        for (let cell = 0; cell < CELLS; cell++) total += this.arrivals[cell]!;
-        let rest = total * share;
-        for (let cell = 0; cell < CELLS; cell++) {
-            const here = this.arrivals[cell]!;
-            if (here > rest) return cell * STEP + Math.floor(rest / here * STEP);
-            rest -= here;
+    /** The highest level whose demand does not exceed a rate. */
+    private levelFor(rate: number): number {
+        let rest = rate;
+        for (let priority = 0; priority < PRIORITIES; priority++) {
+            const wanted = this.demand[priority]!;
+            if (wanted > rest) return priority * BUCKETS + Math.floor(rest / wanted * BUCKETS) - 1;
+            rest -= wanted;
         }
         return MAX_LEVEL;
     }
--- /dev/null
+++ b/test/support/overloadModel.ts
@@ -0,0 +1,187 @@
+/**
+ * A model in virtual time of one bottleneck service below an entry: runs make calls to it one after the other, the
+ * decisions are those of the product. It shows what callers get under a load, without a network.
+ */
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import TinyQueue from "tinyqueue";
+import { Cutoff } from "../../src/policy/cutoff.ts";
+import { EntryCutoffs } from "../../src/policy/entryCutoff.ts";
+import { levelOf } from "../../src/policy/level.ts";
+import { PriorityQueue } from "../../src/policy/runQueue.ts";
+
+export interface ModelClass {
+    readonly name: string;
+    readonly priority: number;
+    readonly perSecond: number;
+    /** Calls to the bottleneck, one after the other. */
+    readonly calls: number;
+    readonly objectiveMs: number;
+    readonly deadlineMs: number;
+}
+
+export interface ModelOptions {
+    readonly classes: readonly ModelClass[];
+    readonly targets: number;
+    readonly slots: number;
+    readonly workMs: number;
+    readonly seconds: number;
+    readonly seed: number;
+}
+
+export interface ClassResult {
+    asked: number;
+    inTime: number;
+    late: number;
+    refused: number;
+    failed: number;
+}
+
+interface Request {
+    readonly kind: ModelClass;
+    readonly level: number;
+    readonly startedAt: number;
+    callsLeft: number;
+}
+
+interface Job {
+    readonly request: Request;
+    readonly level: number;
+    readonly waitUntil: number;
+    readonly arrivedAt: number;
+}
+
+const TICK_MS = 100;
+/** Time from the entry to the bottleneck, over the services between. */
+const CHAIN_MS = 30;
+
+class ModelTarget {
+    readonly isUsable = true;
+    readonly control = new Cutoff();
+    readonly queue = new PriorityQueue<Job>();
+    running = 0;
+
+    get cutoff(): number {
+        return this.control.value;
+    }
+}
+
+export function playModel(options: ModelOptions): ReadonlyMap<string, ClassResult> {
+    return new Model(options).play();
+}
+
+class Model {
+    private readonly events = new TinyQueue<{ at: number; run: () => void; }>([], (a, b) => a.at - b.at);
+    private readonly targets: readonly ModelTarget[];
+    private readonly entry: EntryCutoffs;
+    private readonly results = new Map<string, ClassResult>();
+    private readonly random;
+    private now = 0;
+    private ids = 0;
+
+    constructor(private readonly options: ModelOptions) {
+        this.random = xoroshiro128plus(options.seed);
+        this.targets = Array.from({ length: options.targets }, () => new ModelTarget());
+        this.entry = new EntryCutoffs(() => this.targets);
+    }
+
+    play(): ReadonlyMap<string, ClassResult> {
+        for (const kind of this.options.classes) {
+            this.results.set(kind.name, { asked: 0, inTime: 0, late: 0, refused: 0, failed: 0 });
+            this.at(this.gap(kind.perSecond), () => this.arrive(kind));
+        }
+        this.at(TICK_MS, () => this.tick());
+        for (let next = this.events.pop(); next !== undefined; next = this.events.pop()) {
+            this.now = next.at;
+            next.run();
+        }
+        return this.results;
+    }
+
+    private get isOver(): boolean {
+        return this.now > this.options.seconds * 1000;
+    }
+
+    private at(delayMs: number, run: () => void): void {
+        this.events.push({ at: this.now + delayMs, run });
+    }
+
+    private uniform(): number {
+        return uniformInt(this.random, 1, 1_000_000) / 1_000_000;
+    }
+
+    private gap(perSecond: number): number {
+        return -Math.log(this.uniform()) * 1000 / perSecond;
+    }
+
+    private arrive(kind: ModelClass): void {
+        if (this.isOver) return;
+        this.at(this.gap(kind.perSecond), () => this.arrive(kind));
+        const result = this.results.get(kind.name)!;
+        result.asked++;
+        const level = levelOf(kind.priority, `${++this.ids}`);
+        if (level > this.entry.cutoffOf("bottleneck", this.now)) {
+            result.refused++;
+            return;
+        }
+        const request = { kind, level, startedAt: this.now, callsLeft: kind.calls };
+        this.at(CHAIN_MS, () => this.call(request));
+    }
+
+    private call(request: Request): void {
+        const target = this.targets[Math.floor(this.uniform() * 0.999_999 * this.targets.length)]!;
+        const leftMs = request.startedAt + request.kind.deadlineMs - this.now;
+        const job = {
+            request,
+            level: request.level,
+            arrivedAt: this.now,
+            waitUntil: this.now + leftMs * 0.6,
+        };
+        target.control.noteArrival(request.level);
+        if (target.running < this.options.slots && target.queue.length === 0) this.start(target, job);
+        else target.queue.push(job);
+    }
+
+    private start(target: ModelTarget, job: Job): void {
+        target.running++;
+        target.control.noteStart(this.now - job.arrivedAt);
+        this.at(this.options.workMs * (0.5 + this.uniform()), () => {
+            target.running--;
+            this.finish(job.request);
+            this.startNext(target);
+        });
+    }
+
+    private startNext(target: ModelTarget): void {
+        const next = target.queue.shift(this.now, job => this.fail(target, job));
+        if (next !== undefined) this.start(target, next);
+    }
+
+    private fail(target: ModelTarget, job: Job): void {
+        target.control.noteLost();
+        this.results.get(job.request.kind.name)!.failed++;
+    }
+
+    private finish(request: Request): void {
+        if (--request.callsLeft > 0) {
+            this.call(request);
+            return;
+        }
+        const result = this.results.get(request.kind.name)!;
+        const tookMs = this.now - request.startedAt;
+        if (tookMs <= request.kind.objectiveMs) result.inTime++;
+        else if (tookMs <= request.kind.deadlineMs) result.late++;
+        else result.failed++;
+    }
+
+    private tick(): void {
+        for (const target of this.targets) {
+            for (const job of target.queue.takeExpired(this.now)) this.fail(target, job);
+            target.control.tick(
+                target.queue.length / this.options.slots,
+                this.entry.cutoffOf("bottleneck", this.now),
+            );
+        }
+        if (!this.isOver) this.at(TICK_MS, () => this.tick());
+    }
+}
