--- a/src/policy/routeBreaker.ts
+++ b/src/policy/routeBreaker.ts
@@ -4,8 +4,8 @@
  * let through to see when it gets better.
  */
 const SMOOTHING = 0.03;
-/** Share of failures from which a route counts as failing. */
-const FAILING_SHARE = 0.85;
+/** Share of failures from which a route counts as failing: below it, trying serves more callers than refusing. */
+const FAILING_SHARE = 0.975;
 const TRIAL_SHARE = 0.1;
 /** Without an answer for this long, nothing is known any more. */
 const FRESH_MS = 1000;
