Store that a target leaves also while its node stops

Cause: the record stayed 'ready' in the store when the target announced its leaving to a stopping node, so that the next process of the node could take the target back after a health check.

--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -255,8 +255,9 @@
 
     /** Writes the record to the store unless it says the same already. */
     private publishStored(): void {
-        if (this.stoppingSince !== undefined) return;
-        const record = this.ownRecord();
+        const record = { ...this.ownRecord(), target: this.register.record };
+        // A stop alone changes nothing that the next process has to know; a target that leaves meanwhile does.
+        if (this.stoppingSince !== undefined && record.target?.state === "ready") return;
         const { stored } = this;
         if (stored?.address === record.address && isSameTarget(stored.target, record.target)) return;
         this.stored = record;
