Refuse requests that a stopping node might cut

Change: from 2.9 s after the signal a stopping node answers new client requests 503, not run; what it has taken, and the calls of runs beside it, go on. Test: 'refuses requests that a stopping node might cut, and ends those that it took'.

--- a/src/mesh/call.ts
+++ b/src/mesh/call.ts
@@ -38,3 +38,11 @@
 }
 
 const LOAD_REASONS: readonly string[] = ["overload", "queue-timeout", "deadline", "target-shed"];
+
+const MAX_TARGET_WAIT_MS = 250;
+const TARGET_WAIT_SHARE = 0.25;
+
+/** Time in ms that a request without any target waits for one. */
+export function targetWaitMs(call: Call): number {
+    return Math.min(MAX_TARGET_WAIT_MS, call.route.latencyObjectiveMs * TARGET_WAIT_SHARE);
+}
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -14,7 +14,7 @@
 import { findRoute, SplitChooser } from "../policy/routeTable.ts";
 import type { RouteUse, RouteUses } from "../policy/routeUses.ts";
 import { plainAnswer, refusalAnswer } from "./answers.ts";
-import { isTargetFault } from "./call.ts";
+import { isTargetFault, targetWaitMs } from "./call.ts";
 import type { Call } from "./call.ts";
 import { steadyNow } from "./clock.ts";
 import type { Counters } from "./counters.ts";
@@ -42,6 +42,8 @@
     readonly log: EventLog;
     /** Sends to another node; returns a function that cancels. */
     readonly sendTo: (node: KnownNode, req: RunRequest, onOutcome: OnOutcome) => () => void;
+    /** Whether the process ends too soon for another client request. */
+    readonly isEnding: () => boolean;
     readonly uses: RouteUses;
     readonly onNewUse: (use: RouteUse) => void;
     readonly onConfigVersion: (node: KnownNode, version: number) => void;
@@ -54,9 +56,6 @@
 const ROOT_QUEUE_SHARE = 0.3;
 /** Calls of a run have cost capacity already and may wait longer. */
 const NESTED_QUEUE_SHARE = 0.6;
-/** A request that finds no target at all waits this long for one. */
-const MAX_TARGET_WAIT_MS = 250;
-const TARGET_WAIT_SHARE = 0.25;
 const TARGET_WAIT_STEP_MS = 25;
 const TIMER_GRAIN_MS = 4;
 const AVOID_AFTER_FAILURE_MS = 250;
@@ -144,6 +143,10 @@
         this.active++;
         this.learnUse(call);
         if (call.parent === undefined) {
+            if (this.options.isEnding()) {
+                this.refuse(call, "stopping");
+                return false;
+            }
             this.options.budget.noteRequest(call.service, call.startedAt);
             const cutoff = this.cutoffFor(call, call.startedAt);
             if (call.level > cutoff) {
@@ -218,13 +221,12 @@
 
     /** Right after a start or a loss the next target is often there in a moment. */
     private onNoTarget(call: Call, now: number, lastReason: RefusalReason): void {
-        const waitMs = Math.min(MAX_TARGET_WAIT_MS, call.route.latencyObjectiveMs * TARGET_WAIT_SHARE);
-        if (call.tried.length > 0 || now - call.startedAt >= waitMs) {
+        if (call.tried.length > 0 || now - call.startedAt >= targetWaitMs(call)) {
             this.endWithout(call, lastReason);
             return;
         }
-        const retry = setTimeout(() => this.attempt(call), TARGET_WAIT_STEP_MS);
-        call.cancelSend = () => clearTimeout(retry);
+        const timer = setTimeout(() => this.attempt(call), TARGET_WAIT_STEP_MS);
+        call.cancelSend = () => clearTimeout(timer);
     }
 
     private runHere(call: Call, now: number, onOutcome: OnOutcome): () => void {
@@ -301,20 +303,21 @@
     }
 
     private takeRepeat(call: Call, mayHaveRun: boolean, now: number): boolean {
-        const below = this.options.uses.servicesOf(call.route.name);
-        return this.options.budget.take(repeatCharges(call.service, below, mayHaveRun), now);
+        const { budget, uses } = this.options;
+        return budget.take(repeatCharges(call.service, uses.servicesOf(call.route.name), mayHaveRun), now);
     }
 
-    /** Whether another target is there at all; asked before the budget is used. */
+    /** Whether another target is there; asked before the budget is used. */
     private mayRepeat(call: Call): boolean {
         return this.options.directory.ofService(call.service)
             .some(node => node.isUsable && !call.tried.includes(node));
     }
 
     private noteRepeat(call: Call, outcome: Outcome): void {
+        const { counters, log } = this.options;
         const reason = outcome.kind === "answer" ? "answer-5xx" : outcome.reason;
-        this.options.counters.countRepeat(reason);
-        this.options.log.event("repeated", { reason, ...this.logFields(call) });
+        counters.countRepeat(reason);
+        log.event("repeated", { reason, ...this.logFields(call) });
     }
 
     private logFields(call: Call): LogFields {
@@ -390,6 +393,6 @@
     private close(call: Call): void {
         call.isDone = true;
         this.active--;
-        if (call.timer !== undefined) clearTimeout(call.timer);
+        clearTimeout(call.timer);
     }
 }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -56,6 +56,8 @@
 };
 /** After a stop signal, clients may still send for this long: they leave only when readiness has failed twice. */
 const STOP_LINGER_MS = 2300;
+/** After this time from a stop signal, requests of clients are refused: they might outlast the process. */
+const STOP_ADMIT_MS = 2900;
 /** Time left before the end of the grace period at which the process ends whatever is in progress: exits take time. */
 const STOP_RESERVE_MS = 800;
 
@@ -110,6 +112,8 @@
             counters: this.counters,
             log: options.log,
             sendTo: (node, req, onOutcome) => this.peers.send(node, req, onOutcome),
+            isEnding: () =>
+                this.stoppingSince !== undefined && steadyNow() - this.stoppingSince > STOP_ADMIT_MS,
             uses: this.uses,
             onNewUse: use => this.peers.tellUses([use]),
             onConfigVersion: (node, version) => this.peers.onVersion(node, version),
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -247,6 +247,23 @@
         node.close();
     });
 
+    it("refuses requests that a stopping node might cut, and ends those that it took", async () => {
+        await startShop();
+        const [edge, ...shops] = mesh.hosts;
+        for (const { app } of shops) app.mode = "hold";
+        const early = edge!.send({ path: "/unsafe/", id: "early", method: "POST", deadlineMs: 8000 });
+        await until("it runs", () => ranBy("early").length === 1);
+        const stopped = edge!.node.stop();
+        await new Promise(resolve => setTimeout(resolve, 2960));
+        const late = await edge!.send({ path: "/unsafe/", id: "late", method: "POST" });
+        expect(late.status).to.equal(503);
+        expect(late.headers["x-refusal-reason"]).to.equal("stopping");
+        expect(ranBy("late")).to.deep.equal([]);
+        for (const { app } of shops) app.release();
+        expect((await early).status).to.equal(200);
+        await stopped;
+    });
+
     it("shows each refusal and repeat in the metrics and in the log", async () => {
         await startShop();
         const [edge, ...shops] = mesh.hosts;
