Remove unused members of the data plane

Found when reading the whole change: five methods of LeanServer and its connections, counts of TargetPool and PeerLink, setLimits of MessageReader, and overrides of the probe times had no callers; RunnerOptions repeated TargetPoolOptions. No behaviour changes; the 67 tests of test/platform and test/mesh pass, types and linter are clean.

--- a/src/http/leanServer.ts
+++ b/src/http/leanServer.ts
@@ -86,10 +86,6 @@
         this.socket.destroy();
     }
 
-    closeIfIdle(): void {
-        if (!this.isBusy && !this.reader.isMidMessage) this.socket.end();
-    }
-
     private onData(chunk: Buffer): void {
         const wasIdle = !this.reader.isMidMessage;
         this.reader.feed(chunk);
@@ -192,37 +188,18 @@
         });
     }
 
-    get port(): number {
-        const address = this.server.address();
-        return typeof address === "object" && address !== null ? address.port : this.options.port;
-    }
-
-    get busyCount(): number {
-        let count = 0;
-        for (const conn of this.connections) if (conn.isBusy) count++;
-        return count;
-    }
-
     /** Called about once a second. */
     checkTimeouts(now: number): void {
         const limits = this.options.limits();
         for (const conn of this.connections) conn.checkTimeouts(now, limits);
     }
 
-    stopAccepting(): void {
-        this.server.close();
-    }
-
     /** Stops at once. */
     close(): void {
         this.server.close();
         for (const conn of this.connections) conn.destroy();
     }
 
-    closeIdle(): void {
-        for (const conn of this.connections) conn.closeIfIdle();
-    }
-
     private accept(socket: net.Socket): void {
         const conn = new ClientConnection(socket, this.options);
         this.connections.add(conn);
--- a/src/http/messageReader.ts
+++ b/src/http/messageReader.ts
@@ -49,11 +49,7 @@
     isBodyless = false;
 
     /** `parseHead` receives the lines of a head without the empty line; it throws `HttpSyntaxError`. */
-    constructor(private readonly parseHead: (text: string) => H, private limits: ReaderLimits) {}
-
-    setLimits(limits: ReaderLimits): void {
-        this.limits = limits;
-    }
+    constructor(private readonly parseHead: (text: string) => H, private readonly limits: ReaderLimits) {}
 
     /** Whether bytes of a message have arrived that is not complete yet. */
     get isMidMessage(): boolean {
--- a/src/mesh/frameSocket.ts
+++ b/src/mesh/frameSocket.ts
@@ -20,10 +20,6 @@
     readonly version: () => number;
     /** Receives the number of the other side. */
     readonly onVersion?: (version: number) => void;
-    /** Silence, in ms, after which a connection with something pending is probed. */
-    readonly probeAfterMs?: number;
-    /** Time that a probe may stay without any bytes. */
-    readonly probeTimeoutMs?: number;
 }
 
 const PROBE_AFTER_MS = 300;
@@ -77,13 +73,13 @@
 
     /** Called every 100 ms. */
     tick(now: number, isExpecting: boolean): void {
-        const probeAfterMs = isExpecting ? this.options.probeAfterMs ?? PROBE_AFTER_MS : IDLE_PROBE_MS;
+        const probeAfterMs = isExpecting ? PROBE_AFTER_MS : IDLE_PROBE_MS;
         if (this.probedAt === undefined) {
             if (now - this.lastReadAt < probeAfterMs) return;
             this.probedAt = now;
             this.write(encodeSignal("ping", 0));
         }
-        else if (now - this.probedAt > (this.options.probeTimeoutMs ?? PROBE_TIMEOUT_MS)) this.destroy();
+        else if (now - this.probedAt > PROBE_TIMEOUT_MS) this.destroy();
     }
 
     destroy(): void {
--- a/src/mesh/peerLink.ts
+++ b/src/mesh/peerLink.ts
@@ -34,10 +34,6 @@
         this.connect();
     }
 
-    get isUp(): boolean {
-        return this.frames?.isWritable === true;
-    }
-
     /** Sends a request; returns the number by which it can be cancelled. */
     send(req: RunRequest, onOutcome: OnOutcome): number {
         const stream = this.nextStream;
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -7,9 +7,8 @@
 import type { Waiting } from "../policy/runQueue.ts";
 import { steadyNow } from "./clock.ts";
 import type { Counters } from "./counters.ts";
-import type { TargetProtocol } from "./protocol.ts";
 import { TargetPool } from "./targetPool.ts";
-import type { Reply } from "./targetPool.ts";
+import type { Reply, TargetPoolOptions } from "./targetPool.ts";
 import type { FailureReason, LoadReport, Outcome, RefusalReason, RunRequest, TargetRecord } from "./types.ts";
 
 export interface Run extends Waiting {
@@ -22,11 +21,8 @@
     isDone: boolean;
 }
 
-export interface RunnerOptions {
-    readonly host: string;
-    readonly port: number;
+export interface RunnerOptions extends TargetPoolOptions {
     readonly counters: Counters;
-    readonly protocol: TargetProtocol;
     /** Level up to which entries admit requests for a service. */
     readonly entryLevel: (service: string) => number;
 }
--- a/src/mesh/targetPool.ts
+++ b/src/mesh/targetPool.ts
@@ -148,10 +148,6 @@
 
     constructor(private readonly options: TargetPoolOptions) {}
 
-    get openCount(): number {
-        return this.all.size;
-    }
-
     /** Sends a request; returns a function that breaks it off. */
     send(exchange: Exchange): () => void {
         const conn = this.takeIdle(exchange.isIdempotent) ?? this.open();
