--- a/src/main.ts
+++ b/src/main.ts
@@ -5,6 +5,7 @@
 import { runCheck } from "./commands/check.ts";
 import { runDev } from "./commands/dev.ts";
 import { runDiff } from "./commands/diff.ts";
+import { runExplain } from "./commands/explain.ts";
 import { runNode } from "./commands/node.ts";
 import { runStandinCaller, runStandinLog, runStandinTarget } from "./commands/standins.ts";
 import { runStatus } from "./commands/status.ts";
@@ -30,6 +31,7 @@
 
 type Action = (flags: Flags) => Promise<void> | void;
 type DirectoryAction = (directory: string, flags: Flags) => Promise<void> | void;
+type FilesAction = (id: string, files: readonly string[]) => Promise<void>;
 
 /** Flags of each command. */
 const commands = new Map<string, readonly string[]>();
@@ -39,35 +41,51 @@
     readonly name: string;
     readonly describe: string;
     readonly flags?: Readonly<Record<string, string>>;
-    readonly action: Action | { readonly onDirectory: DirectoryAction; };
+    readonly action: Action | { readonly onDirectory: DirectoryAction; } | {
+        readonly onFiles: FilesAction;
+    };
 }
 
+type Run = (flags: Flags) => Promise<void> | void;
+
 function addCommand({ name, describe, flags = {}, action }: CommandOptions): void {
-    const takesDirectory = typeof action !== "function";
-    const usage = takesDirectory ? `${name} [dir]` : name;
-    prog.command(usage, describe);
+    const takes = typeof action === "function" ? "" : "onFiles" in action ? " [id]" : " [dir]";
+    prog.command(`${name}${takes}`, describe);
     for (const [flag, text] of Object.entries(flags)) prog.option(`--${flag}`, text);
     commands.set(name, [...Object.keys(flags), "log", "help"]);
-    const start = (given: Flags, run: (flags: Flags) => Promise<void> | void) => {
-        const stray = given["_"] as readonly string[];
-        if (stray.length > 0) {
-            return fail(
-                `unexpected argument "${stray[0]}"; usage: filbertspool ${usage.replace("[dir]", "<dir>")}`,
-            );
-        }
+    const start = (given: Flags, run: Run) => {
         withLog(given);
         guarded(() => run(joinRepeated(given)));
     };
-    if (!takesDirectory) {
-        prog.action((given: Flags) => start(given, action));
+    if (typeof action === "function") {
+        prog.action((given: Flags) => refuseStray(name, given) || start(given, action));
+        return;
+    }
+    if ("onFiles" in action) {
+        prog.action((id: string | undefined, given: Flags) => {
+            const files = given["_"] as readonly string[];
+            if (id === undefined || files.length === 0) {
+                return fail(
+                    `missing ${id === undefined ? "id" : "file"}; usage: filbertspool ${name} <id> <file>...`,
+                );
+            }
+            start(given, () => action.onFiles(id, files));
+        });
         return;
     }
     prog.action((directory: string | undefined, given: Flags) => {
         if (directory === undefined) return fail(`missing directory; usage: filbertspool ${name} <dir>`);
-        start(given, flags => action.onDirectory(directory, flags));
+        if (!refuseStray(`${name} <dir>`, given)) start(given, flags => action.onDirectory(directory, flags));
     });
 }
 
+/** Returns whether there was an argument that the command does not take. */
+function refuseStray(usage: string, given: Flags): boolean {
+    const stray = given["_"] as readonly string[];
+    if (stray.length > 0) fail(`unexpected argument "${stray[0]}"; usage: filbertspool ${usage}`);
+    return stray.length > 0;
+}
+
 /** A flag that is given several times is the same as one with all its values, separated by commas. */
 function joinRepeated(flags: Flags): Flags {
     return Object.fromEntries(
@@ -129,6 +147,11 @@
     flags: { ...LOG_FLAG, ...NODE_FLAG, ...KEY_FLAG, "json": "Print JSON" },
     action: flags => runStatus(flags, process.env, print),
 });
+addCommand({
+    name: "explain",
+    describe: "Show the path of a request of platform nodes from their log files",
+    action: { onFiles: (id, files) => runExplain(id, files, print) },
+});
 addCommand({
     name: "dev",
     describe: "Run a small deployment in one process and show calls, a change and a race",
--- a/src/mesh/call.ts
+++ b/src/mesh/call.ts
@@ -11,6 +11,8 @@
     readonly route: Route;
     readonly service: string;
     readonly parent: Run | undefined;
+    /** Whether each step leaves a line in the log. */
+    readonly isTraced: boolean;
     readonly level: number;
     readonly startedAt: number;
     readonly endsAt: number;
--- /dev/null
+++ b/src/mesh/callLog.ts
@@ -0,0 +1,82 @@
+/**
+ * Log lines of the caller's side. Decisions against a request always ask for a line; the steps of a request that goes
+ * well leave one only if it is traced.
+ */
+import type { Call } from "./call.ts";
+import { steadyNow } from "./clock.ts";
+import type { EventLog, LogFields } from "./eventLog.ts";
+import type { FailureReason, RefusalReason } from "./types.ts";
+
+export interface CallLogOptions {
+    readonly log: EventLog;
+    readonly configVersion: () => number | undefined;
+}
+
+export class CallLog {
+    private readonly log: EventLog;
+
+    constructor(private readonly options: CallLogOptions) {
+        this.log = options.log;
+    }
+
+    admitted(call: Call): void {
+        if (call.isTraced) this.log.step("admitted", this.fields(call));
+    }
+
+    sent(call: Call): void {
+        if (call.isTraced) this.log.step("sent", this.fields(call));
+    }
+
+    redirected(call: Call, reason: RefusalReason | undefined): void {
+        if (call.isTraced) this.log.step("redirected", { reason, ...this.fields(call) });
+    }
+
+    repeated(call: Call, reason: RefusalReason | FailureReason | "answer-5xx"): void {
+        this.decision("repeated", call, { reason });
+    }
+
+    /** Another send would have been of use, but the budget of repeats did not allow it. */
+    notRepeated(call: Call, reason: RefusalReason | FailureReason | "answer-5xx"): void {
+        this.decision("not-repeated", call, { reason });
+    }
+
+    refused(call: Call, reason: RefusalReason, cutoff: number | undefined): void {
+        this.decision("refused", call, { reason, cutoff });
+    }
+
+    failed(call: Call, reason: FailureReason): void {
+        this.decision("failed", call, { reason });
+    }
+
+    answered(call: Call, status: number): void {
+        if (status >= 500) this.decision("answered", call, { status });
+        else if (call.isTraced) this.log.step("answered", { status, ...this.fields(call) });
+    }
+
+    cancelled(call: Call): void {
+        this.decision("cancelled", call, {});
+    }
+
+    private decision(kind: string, call: Call, why: LogFields): void {
+        const fields = { ...why, ...this.fields(call) };
+        if (call.isTraced) this.log.step(kind, fields);
+        else this.log.event(kind, fields);
+    }
+
+    private fields(call: Call): LogFields {
+        const now = steadyNow();
+        return {
+            id: call.req.head.requestId,
+            parent: call.parent?.req.requestId,
+            route: call.route.name,
+            service: call.service,
+            level: call.level,
+            sends: call.sends,
+            redirects: call.redirects,
+            last: call.tried.at(-1)?.record.name,
+            configVersion: this.options.configVersion(),
+            tookMs: Math.round(now - call.startedAt),
+            leftMs: Math.round(call.endsAt - now),
+        };
+    }
+}
--- a/src/mesh/eventLog.ts
+++ b/src/mesh/eventLog.ts
@@ -5,6 +5,8 @@
  */
 import pino from "pino";
 import { steadyNow } from "./clock.ts";
+import { createTraceFilter } from "./traceFilter.ts";
+import type { TraceFilter } from "./traceFilter.ts";
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
@@ -15,9 +17,14 @@
     readonly write?: (line: string) => void;
     /** Fields of every line. */
     readonly base?: LogFields;
+    /** Which requests leave a line for each step, besides those for decisions against them. */
+    readonly trace?: TraceFilter;
 }
 
 const DEFAULT_RATE = 20;
+/** Lines a second of all traced requests together: a chain of eight calls leaves about sixty. */
+const TRACE_RATE = 300;
+const TRACE_BUCKET = "trace";
 /** Bytes gathered before a write, and held at most for a reader that does not keep up. */
 const BLOCK_BYTES = 4096;
 const MAX_HELD_BYTES = 512 * 1024;
@@ -34,22 +41,42 @@
     private readonly logger: pino.Logger;
     private readonly buckets = new Map<string, Bucket>();
     private readonly rate: number;
+    private readonly trace: TraceFilter;
     private droppedBytes = 0;
     private readonly flushNow: (onDone: () => void) => void;
 
     constructor(options: EventLogOptions = {}) {
         this.rate = options.ratePerKind ?? DEFAULT_RATE;
+        this.trace = options.trace ?? createTraceFilter();
         const destination = options.write === undefined ? this.standardOutput() : { write: options.write };
         this.flushNow = "flush" in destination ? onDone => destination.flush(onDone) : onDone => onDone();
         this.logger = pino(
-            { base: options.base ?? {}, timestamp: pino.stdTimeFunctions.epochTime },
+            {
+                base: options.base ?? {},
+                timestamp: pino.stdTimeFunctions.epochTime,
+                // The library's own name, level, is taken by the admission level of a request.
+                formatters: { level: severity => ({ severity }) },
+            },
             destination,
         );
     }
 
     /** A decision or change of this kind; within its rate limit it becomes a line. */
     event(kind: string, fields: LogFields): void {
-        const bucket = this.bucketOf(kind);
+        this.write(this.bucketOf(kind, this.rate), kind, fields);
+    }
+
+    /** Whether each step of a request becomes a line; asked once a request. */
+    isTraced(requestId: string): boolean {
+        return this.trace(requestId);
+    }
+
+    /** A step of a traced request. */
+    step(kind: string, fields: LogFields): void {
+        this.write(this.bucketOf(TRACE_BUCKET, TRACE_RATE), kind, fields);
+    }
+
+    private write(bucket: Bucket, kind: string, fields: LogFields): void {
         if (bucket.tokens < 1) {
             bucket.leftOut++;
             return;
@@ -65,11 +92,11 @@
         this.logger.info({ event: kind, ...fields });
     }
 
-    /** Writes what is held; resolves after a bounded time even if the reader of the log does not read. */
-    flush(): Promise<void> {
+    /** Writes what is held; resolves after a bounded time, with whether the reader of the log took it all. */
+    flush(): Promise<boolean> {
         return new Promise(resolve => {
-            setTimeout(resolve, FLUSH_TIMEOUT_MS);
-            this.flushNow(resolve);
+            setTimeout(() => resolve(false), FLUSH_TIMEOUT_MS);
+            this.flushNow(() => resolve(true));
         });
     }
 
@@ -92,14 +119,14 @@
         return this.droppedBytes;
     }
 
-    private bucketOf(kind: string): Bucket {
+    private bucketOf(kind: string, rate: number): Bucket {
         const now = steadyNow();
         let bucket = this.buckets.get(kind);
         if (bucket === undefined) {
-            bucket = { tokens: this.rate, refilledAt: now, leftOut: 0 };
+            bucket = { tokens: rate, refilledAt: now, leftOut: 0 };
             this.buckets.set(kind, bucket);
         }
-        bucket.tokens = Math.min(this.rate, bucket.tokens + (now - bucket.refilledAt) * this.rate / 1000);
+        bucket.tokens = Math.min(rate, bucket.tokens + (now - bucket.refilledAt) * rate / 1000);
         bucket.refilledAt = now;
         return bucket;
     }
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -16,10 +16,12 @@
 import { plainAnswer, refusalAnswer } from "./answers.ts";
 import { isTargetFault, targetWaitMs } from "./call.ts";
 import type { Call } from "./call.ts";
+import { CallLog } from "./callLog.ts";
 import { steadyNow } from "./clock.ts";
 import type { Counters } from "./counters.ts";
 import type { Directory, KnownNode } from "./directory.ts";
-import type { EventLog, LogFields } from "./eventLog.ts";
+import type { EventLog } from "./eventLog.ts";
+import type { LatencySamples } from "./latencySamples.ts";
 import type { OnOutcome } from "./peerLink.ts";
 import type { Run, Runner } from "./runner.ts";
 import type {
@@ -39,6 +41,7 @@
     readonly runner: Runner;
     readonly budget: RetryBudget;
     readonly counters: Counters;
+    readonly latencies: LatencySamples;
     readonly log: EventLog;
     /** Sends to another node; returns a function that cancels. */
     readonly sendTo: (node: KnownNode, req: RunRequest, onOutcome: OnOutcome) => () => void;
@@ -64,6 +67,7 @@
     private readonly splits = new SplitChooser();
     private readonly cutoffs: EntryCutoffs;
     private readonly breaker = new RouteBreaker();
+    private readonly log: CallLog;
     private readonly rand: () => number;
     /** Scratch space of one choice of a target. */
     private readonly nodes: KnownNode[] = [];
@@ -72,6 +76,7 @@
     constructor(private readonly options: ForwarderOptions) {
         this.rand = options.rand ?? Math.random;
         this.cutoffs = new EntryCutoffs(service => options.directory.ofService(service));
+        this.log = new CallLog({ log: options.log, configVersion: () => options.config()?.version });
     }
 
     get activeCount(): number {
@@ -118,6 +123,7 @@
             route,
             service: this.splits.choose(route),
             parent,
+            isTraced: this.options.log.isTraced(req.head.requestId),
             level: parent?.level ?? levelOf(route.priority, req.head.requestId),
             startedAt: now,
             endsAt: Math.min(now + deadlineMs, parent?.deadlineAt ?? Infinity),
@@ -164,6 +170,7 @@
             () => this.onTimeout(call),
             Math.ceil(leftMs / TIMER_GRAIN_MS) * TIMER_GRAIN_MS,
         );
+        this.log.admitted(call);
         this.attempt(call);
         return !call.isDone;
     }
@@ -197,6 +204,7 @@
         }
         const node = nodes[index]!;
         call.tried.push(node);
+        this.log.sent(call);
         node.pending++;
         let isOver = false;
         const onOutcome: OnOutcome = (outcome, load) => {
@@ -290,16 +298,24 @@
                 this.end(call, outcome);
                 return;
             case "redirect":
-                this.attempt(call, outcome.kind === "not-run" ? outcome.reason : undefined);
+                this.log.redirected(call, reasonOf(outcome));
+                this.attempt(call, reasonOf(outcome));
                 return;
             case "repeat":
-                if (!this.mayRepeat(call) || !this.takeRepeat(call, decision.mayHaveRun, now)) {
-                    this.end(call, outcome);
-                    return;
-                }
-                this.noteRepeat(call, outcome);
-                this.attempt(call, outcome.kind === "not-run" ? outcome.reason : undefined);
+                this.repeat(call, outcome, decision.mayHaveRun, now);
+        }
+    }
+
+    private repeat(call: Call, outcome: Outcome, mayHaveRun: boolean, now: number): void {
+        const why = outcome.kind === "answer" ? "answer-5xx" : outcome.reason;
+        if (!this.mayRepeat(call) || !this.takeRepeat(call, mayHaveRun, now)) {
+            this.log.notRepeated(call, why);
+            this.end(call, outcome);
+            return;
         }
+        this.options.counters.countRepeat(why);
+        this.log.repeated(call, why);
+        this.attempt(call, reasonOf(outcome));
     }
 
     private takeRepeat(call: Call, mayHaveRun: boolean, now: number): boolean {
@@ -313,35 +329,14 @@
             .some(node => node.isUsable && !call.tried.includes(node));
     }
 
-    private noteRepeat(call: Call, outcome: Outcome): void {
-        const { counters, log } = this.options;
-        const reason = outcome.kind === "answer" ? "answer-5xx" : outcome.reason;
-        counters.countRepeat(reason);
-        log.event("repeated", { reason, ...this.logFields(call) });
-    }
-
-    private logFields(call: Call): LogFields {
-        const now = steadyNow();
-        return {
-            id: call.req.head.requestId,
-            route: call.route.name,
-            service: call.service,
-            level: call.level,
-            sends: call.sends,
-            redirects: call.redirects,
-            last: call.tried.at(-1)?.record.name,
-            configVersion: this.options.config()?.version,
-            tookMs: Math.round(now - call.startedAt),
-            leftMs: Math.round(call.endsAt - now),
-        };
-    }
-
     private end(call: Call, outcome: Outcome): void {
         switch (outcome.kind) {
             case "answer":
                 if (call.parent === undefined) {
                     this.breaker.note(call.route.name, outcome.status >= 500, steadyNow());
                 }
+                this.log.answered(call, outcome.status);
+                this.options.latencies.record("answered", steadyNow() - call.startedAt);
                 this.finish(call, outcome);
                 return;
             case "not-run":
@@ -361,13 +356,14 @@
     private refuse(call: Call, reason: RefusalReason, cutoff?: number): void {
         const leftMs = Math.max(0, call.endsAt - steadyNow());
         this.options.counters.countRefused(reason);
-        this.options.log.event("refused", { reason, cutoff, ...this.logFields(call) });
+        this.log.refused(call, reason, cutoff);
+        this.options.latencies.record("refused", steadyNow() - call.startedAt);
         this.finish(call, refusalAnswer(reason, leftMs, this.rand));
     }
 
     private fail(call: Call, reason: FailureReason): void {
         this.options.counters.countFailed(reason);
-        this.options.log.event("failed", { reason, ...this.logFields(call) });
+        this.log.failed(call, reason);
         this.finish(call, plainAnswer(reason === "timeout" ? 504 : 502));
     }
 
@@ -381,6 +377,7 @@
     private onCallerGone(call: Call): void {
         if (call.isDone) return;
         this.options.counters.countFailed("caller-gone");
+        this.log.cancelled(call);
         call.cancelSend?.();
         this.close(call);
     }
@@ -396,3 +393,7 @@
         clearTimeout(call.timer);
     }
 }
+
+function reasonOf(outcome: Outcome): RefusalReason | undefined {
+    return outcome.kind === "not-run" ? outcome.reason : undefined;
+}
--- a/src/mesh/metricsPage.ts
+++ b/src/mesh/metricsPage.ts
@@ -1,45 +1,119 @@
-/** The counters of a mesh node as Prometheus text. The library is loaded with the first scrape, not at the start. */
+/**
+ * The counters and latencies of a mesh node as Prometheus text. The libraries are loaded with the first scrape, not at
+ * the start. Label sets are bounded: routes come from the configuration, all other labels are fixed.
+ */
+import type { Histogram } from "hdr-histogram-js";
+import type { Registry } from "prom-client";
+import type { LatencyPhase } from "./latencySamples.ts";
 import type { MeshNode } from "./node.ts";
 
 export const METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
-export async function metricsPage(node: MeshNode): Promise<string> {
-    const { Counter, Gauge, Registry } = await import("prom-client");
-    const registry = new Registry();
-    const addCounter = (name: string, help: string, label: string, values: ReadonlyMap<string, number>) => {
-        const counter = new Counter({ name, help, labelNames: [label], registers: [registry] });
-        for (const [key, value] of values) counter.inc({ [label]: key }, value);
-    };
-    const addGauge = (name: string, help: string, value: number) => {
-        new Gauge({ name, help, registers: [registry] }).set(value);
-    };
-    const { counters, runner } = node;
-    addCounter("filbertspool_requests_total", "Requests that began here", "route", counters.requests);
-    addCounter("filbertspool_refused_total", "Requests refused, not run", "reason", counters.refusals);
-    addCounter(
-        "filbertspool_failed_total",
-        "Requests ended with unknown outcome",
-        "reason",
-        counters.failures,
-    );
-    addCounter("filbertspool_repeated_total", "Sends to another target", "reason", counters.repeats);
-    addCounter(
-        "filbertspool_runs_refused_total",
-        "Runs refused beside the target",
-        "reason",
-        counters.runRefusals,
-    );
-    const load = runner.load(node.configVersion);
-    addGauge("filbertspool_running", "Requests at the target", load.running);
-    addGauge("filbertspool_queued", "Requests waiting for a slot", load.queued);
-    addGauge("filbertspool_slots_used_at_most", "Requests sent to the target at once", load.limit);
-    addGauge("filbertspool_cutoff_level", "Level up to which requests are admitted", load.cutoff);
-    addGauge(
-        "filbertspool_service_seconds",
-        "Smoothed time of a request at the target",
-        load.serviceMs / 1000,
-    );
-    addGauge("filbertspool_config_version", "Version in force", load.configVersion);
-    addGauge("filbertspool_nodes_known", "Nodes known, this one included", node.directory.size);
-    return registry.metrics();
+const PERCENTILES: readonly number[] = [50, 90, 99, 99.9];
+const MICROSECONDS_PER_MS = 1000;
+const MICROSECONDS_PER_S = 1_000_000;
+/** Longer latencies count as five minutes. */
+const HIGHEST_LATENCY_US = 300 * MICROSECONDS_PER_S;
+
+export class MetricsPage {
+    private readonly latencies = new Map<LatencyPhase, Histogram>();
+
+    constructor(private readonly node: MeshNode) {}
+
+    async render(): Promise<string> {
+        const { Registry } = await import("prom-client");
+        const registry = new Registry();
+        await this.addCounters(registry);
+        await this.addGauges(registry);
+        await this.addLatencies(registry);
+        return registry.metrics();
+    }
+
+    private async addCounters(registry: Registry): Promise<void> {
+        const { Counter } = await import("prom-client");
+        const { counters, latencies } = this.node;
+        const add = (name: string, help: string, label: string, values: ReadonlyMap<string, number>) => {
+            const counter = new Counter({ name, help, labelNames: [label], registers: [registry] });
+            for (const [key, value] of values) counter.inc({ [label]: key }, value);
+        };
+        add("filbertspool_requests_total", "Requests that began here", "route", counters.requests);
+        add("filbertspool_refused_total", "Requests refused, not run", "reason", counters.refusals);
+        add("filbertspool_failed_total", "Requests ended with unknown outcome", "reason", counters.failures);
+        add("filbertspool_repeated_total", "Sends to another target", "reason", counters.repeats);
+        add(
+            "filbertspool_runs_refused_total",
+            "Runs refused beside the target",
+            "reason",
+            counters.runRefusals,
+        );
+        new Counter({
+            name: "filbertspool_latency_samples_lost_total",
+            help: "Latencies that no scrape came for in time",
+            registers: [registry],
+        }).inc(latencies.lost);
+    }
+
+    private async addGauges(registry: Registry): Promise<void> {
+        const { Gauge } = await import("prom-client");
+        const { node } = this;
+        const add = (name: string, help: string, value: number) => {
+            new Gauge({ name, help, registers: [registry] }).set(value);
+        };
+        const load = node.runner.load(node.configVersion);
+        add("filbertspool_running", "Requests at the target", load.running);
+        add("filbertspool_queued", "Requests waiting for a slot", load.queued);
+        add("filbertspool_slots_used_at_most", "Requests sent to the target at once", load.limit);
+        add("filbertspool_cutoff_level", "Level up to which requests are admitted", load.cutoff);
+        add(
+            "filbertspool_service_seconds",
+            "Smoothed time of a request at the target",
+            load.serviceMs / 1000,
+        );
+        add("filbertspool_config_version", "Version in force", load.configVersion);
+        add("filbertspool_nodes_known", "Nodes known, this one included", node.directory.size);
+    }
+
+    private async addLatencies(registry: Registry): Promise<void> {
+        const { Counter, Gauge } = await import("prom-client");
+        await this.fold();
+        const seconds = new Gauge({
+            name: "filbertspool_latency_seconds",
+            help:
+                "Latency since the start by phase: answered and refused at the entry, queue and target beside it",
+            labelNames: ["phase", "quantile"],
+            registers: [registry],
+        });
+        const count = new Counter({
+            name: "filbertspool_latency_samples_total",
+            help: "Latencies in the quantiles",
+            labelNames: ["phase"],
+            registers: [registry],
+        });
+        for (const [phase, histogram] of this.latencies) {
+            count.inc({ phase }, histogram.totalCount);
+            for (const percentile of PERCENTILES) {
+                const value = histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_S;
+                seconds.set({ phase, quantile: `${percentile / 100}` }, value);
+            }
+        }
+    }
+
+    /** Adds the samples since the last scrape to the histograms. */
+    private async fold(): Promise<void> {
+        const { build } = await import("hdr-histogram-js");
+        for (const [phase, samples] of this.node.latencies.drain()) {
+            let histogram = this.latencies.get(phase);
+            if (histogram === undefined) {
+                histogram = build({
+                    lowestDiscernibleValue: 1,
+                    highestTrackableValue: HIGHEST_LATENCY_US,
+                    numberOfSignificantValueDigits: 2,
+                });
+                this.latencies.set(phase, histogram);
+            }
+            for (const ms of samples) {
+                histogram.recordValue(Math.min(HIGHEST_LATENCY_US, Math.round(ms * MICROSECONDS_PER_MS)));
+            }
+        }
+    }
 }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -14,6 +14,7 @@
 import type { Directory } from "./directory.ts";
 import type { EventLog } from "./eventLog.ts";
 import { Forwarder } from "./forwarder.ts";
+import { LatencySamples } from "./latencySamples.ts";
 import { Peers } from "./peers.ts";
 import { PeerServer } from "./peerServer.ts";
 import type { TargetProtocol } from "./protocol.ts";
@@ -63,6 +64,7 @@
 
 export class MeshNode {
     readonly counters = new Counters();
+    readonly latencies = new LatencySamples();
     readonly runner: Runner;
     private readonly forwarder: Forwarder;
     private readonly clients: LeanServer;
@@ -89,6 +91,8 @@
         this.runner = new Runner({
             ...options.target,
             counters: this.counters,
+            latencies: this.latencies,
+            log: options.log,
             protocol: options.protocol,
             entryLevel: service => this.forwarder.entryLevel(service),
         });
@@ -110,6 +114,7 @@
             runner: this.runner,
             budget: this.budget,
             counters: this.counters,
+            latencies: this.latencies,
             log: options.log,
             sendTo: (node, req, onOutcome) => this.peers.send(node, req, onOutcome),
             isEnding: () =>
--- /dev/null
+++ b/src/mesh/runLog.ts
@@ -0,0 +1,62 @@
+/** Log lines of the side beside the target: what became of a request that was sent here. */
+import type { EventLog, LogFields } from "./eventLog.ts";
+import type { LoadReport, Outcome, RefusalReason, RunRequest } from "./types.ts";
+
+/** What the lines tell of a run; times in ms. */
+export interface LoggedRun {
+    readonly req: RunRequest;
+    /** Whether each step leaves a line. */
+    readonly isTraced: boolean;
+    readonly arrivedAt: number;
+    /** 0 while it waits for a slot. */
+    readonly startedAt: number;
+}
+
+export class RunLog {
+    constructor(private readonly log: EventLog, private readonly load: () => LoadReport) {}
+
+    queued(run: LoggedRun, now: number, expectedWaitMs: number): void {
+        if (!run.isTraced) return;
+        this.log.step("run-queued", { expectedWaitMs: Math.round(expectedWaitMs), ...this.fields(run, now) });
+    }
+
+    started(run: LoggedRun, now: number): void {
+        if (run.isTraced) this.log.step("run-started", this.fields(run, now));
+    }
+
+    refused(run: LoggedRun, now: number, reason: RefusalReason): void {
+        this.decision("run-refused", run, { reason, ...this.fields(run, now) });
+    }
+
+    ended(run: LoggedRun, now: number, outcome: Outcome): void {
+        const hasFailed = outcome.kind !== "answer" || outcome.status >= 500;
+        if (!hasFailed && !run.isTraced) return;
+        const how = outcome.kind === "answer" ? { status: outcome.status } : { reason: outcome.reason };
+        this.decision("run-ended", run, { ...how, ...this.fields(run, now) });
+    }
+
+    cancelled(run: LoggedRun, now: number): void {
+        this.decision("run-cancelled", run, this.fields(run, now));
+    }
+
+    private decision(kind: string, run: LoggedRun, fields: LogFields): void {
+        if (run.isTraced) this.log.step(kind, fields);
+        else this.log.event(kind, fields);
+    }
+
+    private fields({ req, arrivedAt, startedAt }: LoggedRun, now: number): LogFields {
+        const { cutoff, running, queued, limit } = this.load();
+        const isStarted = startedAt > 0;
+        return {
+            id: req.requestId,
+            service: req.service,
+            level: req.level,
+            cutoff,
+            running,
+            queued,
+            limit,
+            waitedMs: Math.round((isStarted ? startedAt : now) - arrivedAt),
+            atTargetMs: isStarted ? Math.round(now - startedAt) : undefined,
+        };
+    }
+}
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -7,12 +7,16 @@
 import type { Waiting } from "../policy/runQueue.ts";
 import { steadyNow } from "./clock.ts";
 import type { Counters } from "./counters.ts";
+import type { EventLog } from "./eventLog.ts";
+import type { LatencySamples } from "./latencySamples.ts";
+import { RunLog } from "./runLog.ts";
 import { TargetPool } from "./targetPool.ts";
 import type { Reply, TargetPoolOptions } from "./targetPool.ts";
 import type { FailureReason, LoadReport, Outcome, RefusalReason, RunRequest, TargetRecord } from "./types.ts";
 
 export interface Run extends Waiting {
     readonly req: RunRequest;
+    readonly isTraced: boolean;
     readonly arrivedAt: number;
     readonly deadlineAt: number;
     readonly onDone: (outcome: Outcome) => void;
@@ -23,6 +27,8 @@
 
 export interface RunnerOptions extends TargetPoolOptions {
     readonly counters: Counters;
+    readonly latencies: LatencySamples;
+    readonly log: EventLog;
     /** Level up to which entries admit requests for a service. */
     readonly entryLevel: (service: string) => number;
 }
@@ -51,6 +57,7 @@
     private readonly running = new Map<string, Run>();
     private readonly pool: TargetPool;
     private readonly counters: Counters;
+    private readonly log: RunLog;
     private target: TargetRecord | undefined;
     private inUse = 0;
     private serviceMs = 0;
@@ -63,6 +70,7 @@
     constructor(private readonly options: RunnerOptions) {
         this.pool = new TargetPool(options);
         this.counters = options.counters;
+        this.log = new RunLog(options.log, () => this.load(0));
     }
 
     get limit(): number {
@@ -108,6 +116,7 @@
         const now = steadyNow();
         const run: Run = {
             req,
+            isTraced: this.options.log.isTraced(req.requestId),
             level: req.level,
             arrivedAt: now,
             deadlineAt: now + req.leftMs,
@@ -130,9 +139,11 @@
         if (run.startedAt === 0) {
             this.queue.remove(run);
             run.isDone = true;
+            this.log.cancelled(run, steadyNow());
             return;
         }
         if (!run.req.isIdempotent) return;
+        this.log.cancelled(run, steadyNow());
         run.breakOff?.();
         this.end(run);
     }
@@ -196,6 +207,7 @@
             return;
         }
         this.queue.push(run);
+        this.log.queued(run, now, expectedWaitMs);
         this.sweepTimer ??= setInterval(() => this.sweep(), 20);
     }
 
@@ -214,6 +226,7 @@
     private refuse(run: Run, reason: RefusalReason): void {
         run.isDone = true;
         this.counters.countRunRefused(reason);
+        this.log.refused(run, steadyNow(), reason);
         run.onDone({ kind: "not-run", reason });
     }
 
@@ -235,6 +248,8 @@
         this.inUse++;
         this.cutoff.noteStart(now - run.arrivedAt);
         run.startedAt = now;
+        this.options.latencies.record("queue", now - run.arrivedAt);
+        this.log.started(run, now);
         this.running.set(run.req.requestId, run);
         run.breakOff = this.pool.send({
             requestId: run.req.requestId,
@@ -281,12 +296,14 @@
         this.lastProgressAt = now;
         if (wasShed) return;
         const took = now - run.startedAt;
+        this.options.latencies.record("target", took);
         this.serviceMs = this.serviceMs === 0
             ? took
             : this.serviceMs + SERVICE_TIME_SMOOTHING * (took - this.serviceMs);
     }
 
     private finish(run: Run, outcome: Outcome): void {
+        this.log.ended(run, steadyNow(), outcome);
         this.end(run);
         run.onDone(outcome);
     }
--- a/src/policy/level.ts
+++ b/src/policy/level.ts
@@ -14,11 +14,16 @@
     return Math.min(Math.max(priority, 0), PRIORITIES - 1) * BUCKETS + bucketOf(requestId);
 }
 
-/** 32-bit FNV-1a, folded. */
 function bucketOf(text: string): number {
+    const hash = hashOf(text);
+    return ((hash >>> 16) ^ hash) & (BUCKETS - 1);
+}
+
+/** 32-bit FNV-1a of a text, or of its first `length` characters. */
+export function hashOf(text: string, length = text.length): number {
     let hash = FNV_OFFSET;
-    for (let index = 0; index < text.length; index++) {
+    for (let index = 0; index < length; index++) {
         hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
     }
-    return ((hash >>> 16) ^ hash) & (BUCKETS - 1);
+    return hash;
 }
--- /dev/null
+++ b/test/mesh/requestLog.test.ts
@@ -0,0 +1,179 @@
+/**
+ * Log lines of requests: each reason of a refusal, failure or repeat leaves a line with all its fields, a traced request
+ * leaves one for each step, and a reader that stalls holds up nothing.
+ */
+import { expect } from "chai";
+import { spawn } from "node:child_process";
+import { CallLog } from "../../src/mesh/callLog.ts";
+import { EventLog } from "../../src/mesh/eventLog.ts";
+import { RunLog } from "../../src/mesh/runLog.ts";
+import { createTraceFilter } from "../../src/mesh/traceFilter.ts";
+import type { FailureReason, RefusalReason } from "../../src/mesh/types.ts";
+import { makeCall, makeRunRequest } from "../support/meshFixtures.ts";
+
+const REFUSALS: Readonly<Record<RefusalReason, true>> = {
+    "no-config": true,
+    "no-target": true,
+    "draining": true,
+    "target-down": true,
+    "wrong-service": true,
+    "overload": true,
+    "failing-below": true,
+    "queue-timeout": true,
+    "target-shed": true,
+    "link-down": true,
+    "stopping": true,
+    "crashes-targets": true,
+    "memory": true,
+    "deadline": true,
+};
+const FAILURES: Readonly<Record<FailureReason, true>> = {
+    "link-lost": true,
+    "connection-lost": true,
+    "bad-answer": true,
+    "timeout": true,
+    "caller-gone": true,
+    "stopping": true,
+};
+const CALL_FIELDS = [
+    "id",
+    "route",
+    "service",
+    "level",
+    "sends",
+    "redirects",
+    "configVersion",
+    "tookMs",
+    "leftMs",
+];
+const RUN_FIELDS = ["id", "service", "level", "cutoff", "running", "queued", "limit", "waitedMs"];
+const LOAD = { cutoff: 200, running: 3, queued: 1, limit: 4, serviceMs: 20, configVersion: 7 };
+
+type Line = Readonly<Record<string, unknown>>;
+
+function record(): { log: EventLog; lines: () => readonly Line[]; raw: string[]; } {
+    const raw: string[] = [];
+    const log = new EventLog({
+        write: line => raw.push(line),
+        ratePerKind: 1000,
+    });
+    return { log, lines: () => raw.map(line => JSON.parse(line) as Line), raw };
+}
+
+describe("request log", () => {
+    it("leaves a line with all fields for each reason of a refusal, failure and repeat", () => {
+        const { log, lines } = record();
+        const calls = new CallLog({ log, configVersion: () => 7 });
+        const call = makeCall({ id: "q1" });
+        const refusals = Object.keys(REFUSALS) as RefusalReason[];
+        const failures = Object.keys(FAILURES) as FailureReason[];
+        for (const reason of refusals) calls.refused(call, reason, 200);
+        for (const reason of failures) calls.failed(call, reason);
+        for (const reason of [...refusals, ...failures, "answer-5xx"] as const) {
+            calls.repeated(call, reason);
+            calls.notRepeated(call, reason);
+        }
+        calls.answered(call, 504);
+        calls.cancelled(call);
+        const reasonsOf = (kind: string) =>
+            lines().filter(line => line["event"] === kind).map(line => line["reason"]);
+        expect(reasonsOf("refused")).to.deep.equal(refusals);
+        expect(reasonsOf("failed")).to.deep.equal(failures);
+        expect(reasonsOf("repeated")).to.deep.equal([...refusals, ...failures, "answer-5xx"]);
+        expect(reasonsOf("not-repeated")).to.deep.equal([...refusals, ...failures, "answer-5xx"]);
+        for (const line of lines()) expect(line).to.include.keys(CALL_FIELDS);
+    });
+
+    it("leaves a line with all fields for each refused, failed and cancelled run", () => {
+        const { log, lines } = record();
+        const runs = new RunLog(log, () => LOAD);
+        const run = {
+            req: makeRunRequest({ requestId: "q1" }),
+            isTraced: false,
+            arrivedAt: 100,
+            startedAt: 0,
+        };
+        for (const reason of Object.keys(REFUSALS) as RefusalReason[]) runs.refused(run, 130, reason);
+        const started = { ...run, startedAt: 120 };
+        for (const reason of Object.keys(FAILURES) as FailureReason[]) {
+            runs.ended(started, 150, { kind: "unknown", reason });
+        }
+        runs.cancelled(started, 150);
+        expect(lines().length).to.equal(Object.keys(REFUSALS).length + Object.keys(FAILURES).length + 1);
+        for (const line of lines()) expect(line).to.include.keys(RUN_FIELDS);
+        expect(lines().at(0)).to.include({ waitedMs: 30 });
+        expect(lines().at(-1)).to.include({ waitedMs: 20, atTargetMs: 30 });
+    });
+
+    it("leaves a line for each step of a traced request and its calls, and none for others that end well", () => {
+        const { log, lines } = record();
+        const calls = new CallLog({ log, configVersion: () => 7 });
+        const runs = new RunLog(log, () => LOAD);
+        const isTraced = createTraceFilter({ sampled: false, prefixes: ["traced"] });
+        for (const id of ["traced-1", "traced-1.2", "plain"]) {
+            const call = makeCall({ id, isTraced: isTraced(id) });
+            const req = makeRunRequest({ requestId: id });
+            const run = { req, isTraced: isTraced(id), arrivedAt: 100, startedAt: 110 };
+            calls.admitted(call);
+            calls.sent(call);
+            runs.started(run, 110);
+            runs.ended(run, 120, { kind: "answer", status: 200, headers: "", body: Buffer.alloc(0) });
+            calls.answered(call, 200);
+        }
+        const steps = ["admitted", "sent", "run-started", "run-ended", "answered"];
+        expect(lines().map(line => line["id"])).to.not.include("plain");
+        for (const id of ["traced-1", "traced-1.2"]) {
+            expect(lines().filter(line => line["id"] === id).map(line => line["event"])).to.deep.equal(steps);
+        }
+    });
+
+    it("draws about one request in 128, and its calls with it", () => {
+        const isTraced = createTraceFilter();
+        const ids = Array.from(
+            { length: 20_000 },
+            (_, index) => `${(index * 2654435761) >>> 0}`.padStart(16, "7"),
+        );
+        const traced = ids.filter(isTraced);
+        expect(traced.length).to.be.within(20_000 / 128 / 2, 20_000 / 128 * 2);
+        for (const id of traced) expect(isTraced(`${id}.3.1`), id).to.equal(true);
+    });
+
+    it("writes no body, and no header besides the request id", () => {
+        const { log, raw } = record();
+        const secret = "secret-of-the-client";
+        const calls = new CallLog({ log, configVersion: () => 7 });
+        const runs = new RunLog(log, () => LOAD);
+        const headers = `Authorization: ${secret}\r\n`;
+        const call = makeCall({ id: "q2", headers, body: secret, isTraced: true });
+        calls.admitted(call);
+        calls.refused(call, "overload", 3);
+        calls.failed(call, "timeout");
+        const req = makeRunRequest({ requestId: "q2", headers, body: Buffer.from(secret) });
+        runs.ended({ req, isTraced: true, arrivedAt: 1, startedAt: 2 }, 3, {
+            kind: "unknown",
+            reason: "bad-answer",
+        });
+        expect(raw.length).to.equal(4);
+        expect(raw.join("")).to.not.contain(secret);
+    });
+
+    it("goes on when nobody reads standard output, and counts what it drops", async () => {
+        const script = `
+            import { EventLog } from "./src/mesh/eventLog.ts";
+            const log = new EventLog({ ratePerKind: 1e9 });
+            const lines = 20_000;
+            for (let index = 0; index < lines; index++) {
+                log.event("refused", { id: "q".repeat(200) });
+                if (index % 100 === 0) await new Promise(resolve => setImmediate(resolve));
+            }
+            const isWritten = await log.flush();
+            process.stderr.write("dropped " + (log.dropped > 0) + ", written " + isWritten);`;
+        const child = spawn(process.execPath, ["--import", "tsx", "--input-type=module", "-e", script]);
+        child.stdout.pause();
+        const said = await new Promise<string>(resolve => {
+            child.stderr.once("data", chunk => resolve(String(chunk)));
+        });
+        child.kill("SIGKILL");
+        expect(said).to.equal("dropped true, written false");
+    });
+});
--- /dev/null
+++ b/test/platform/explain.test.ts
@@ -0,0 +1,137 @@
+/** The path of a request, put together by `explain` from the logs of real nodes. */
+import { expect } from "chai";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { runExplain } from "../../src/commands/explain.ts";
+import { CommandError } from "../../src/errors.ts";
+import type { LogLine } from "../../src/requestPath.ts";
+import { safeParseLogLine, traceRequest } from "../../src/requestPath.ts";
+import { HOST, PlatformMesh, until, wireConfig, wireRoute } from "../support/platformMesh.ts";
+
+describe("explain", () => {
+    let mesh: PlatformMesh;
+
+    beforeEach(() => {
+        mesh = new PlatformMesh();
+    });
+
+    afterEach(() => mesh.stop());
+
+    const linesOf = (names: readonly string[]): readonly LogLine[] =>
+        mesh.hosts.filter(({ settings }) => names.includes(settings.nodeName))
+            .flatMap(({ log }) => log.flatMap(line => safeParseLogLine(line) ?? []));
+    const ALL = ["edge", "shop-1", "shop-2"];
+
+    async function startShop(): Promise<void> {
+        await mesh.start([
+            { name: "edge", service: "stock" },
+            { name: "shop-1", service: "shop" },
+            { name: "shop-2", service: "shop" },
+        ]);
+    }
+
+    it("tells a refusal with what decided it", async () => {
+        await startShop();
+        const [edge, ...shops] = mesh.hosts;
+        for (const { app } of shops) app.mode = "shed";
+        await edge!.send({ path: "/unsafe/", id: "a1", method: "POST" });
+        const path = traceRequest("a1", linesOf(ALL));
+        expect(path.verdict).to.match(
+            /^refused by edge after \d+ ms, not run: target-shed, last sent to shop-[12]$/,
+        );
+        expect(path.lines.map(({ event }) => event)).to.include.members(["run-ended", "repeated", "refused"]);
+        expect(path.gaps).to.deep.equal([]);
+    });
+
+    it("tells a failure by a target after an attempt elsewhere", async () => {
+        await startShop();
+        const [edge, ...shops] = mesh.hosts;
+        for (const { app } of shops) app.mode = "hang-up";
+        await edge!.send({ path: "/safe/", id: "a2" });
+        const path = traceRequest("a2", linesOf(ALL));
+        expect(path.verdict).to.match(
+            /^failed at edge after \d+ ms with 2 sends .*: connection-lost, last sent to/,
+        );
+        expect(path.lines.filter(({ event }) => event === "run-ended").length).to.equal(2);
+        expect(path.gaps).to.deep.equal([]);
+    });
+
+    it("tells a request that came late because its configuration was not there yet", async () => {
+        await startShop();
+        const [edge, ...shops] = mesh.hosts;
+        const slow = wireRoute({ name: "r-slow", timeout: "150ms" });
+        mesh.store.putConfig(wireConfig(2, [slow]));
+        await until("configured", () => edge!.node.node.configVersion === 2);
+        for (const { app } of shops) app.mode = "hold";
+        await edge!.send({ path: "/safe/", id: "a3" });
+        const path = traceRequest("a3", linesOf(ALL));
+        expect(path.verdict).to.match(
+            /^failed at edge after 1[45]\d ms with 0 sends .*: timeout, last sent to/,
+        );
+        expect(path.lines.at(-1)).to.include({ route: "r-slow", configVersion: 2 });
+    });
+
+    it("shows the calls of a run below the request that made them", async () => {
+        const call = { host: HOST, path: "/stock/" };
+        await mesh.start([{ name: "edge", service: "shop", calls: call }, {
+            name: "store-1",
+            service: "stock",
+        }], {
+            config: wireConfig(1, [
+                wireRoute(),
+                wireRoute({ name: "r-stock", path_prefix: "/stock/", service: "stock" }),
+            ]),
+        });
+        const [edge, store] = mesh.hosts;
+        store!.app.mode = "fail";
+        await edge!.send({ path: "/safe/", id: "a4" });
+        const path = traceRequest("a4", linesOf(["edge", "store-1"]));
+        const below = path.lines.filter(({ id }) => id !== "a4");
+        expect(below.map(({ event }) => event)).to.include.members(["run-ended", "answered"]);
+        expect(below.find(({ event }) => event === "answered")).to.include({ parent: "a4" });
+    });
+
+    it("says what is missing", async () => {
+        await startShop();
+        const [edge, ...shops] = mesh.hosts;
+        for (const { app } of shops) app.mode = "hang-up";
+        await edge!.send({ path: "/unsafe/", id: "a5", method: "POST" });
+        const path = traceRequest("a5", linesOf(["edge"]));
+        expect(path.gaps).to.have.lengthOf(1);
+        expect(path.gaps[0]).to.match(/^no line of shop-[12] is in these files/);
+        expect(traceRequest("unknown", linesOf(ALL)).verdict).to.equal("no line of this request was found");
+    });
+
+    it("reads files, also with what a collector puts before each line, and refuses others", async () => {
+        await startShop();
+        const [edge, ...shops] = mesh.hosts;
+        for (const { app } of shops) app.mode = "shed";
+        await edge!.send({ path: "/unsafe/", id: "a6", method: "POST" });
+        const folder = mkdtempSync(join(tmpdir(), "filbertspool-"));
+        const files = mesh.hosts.map(({ log, settings }) => {
+            const file = join(folder, `${settings.nodeName}.log`);
+            writeFileSync(file, log.map(line => `12:00:01 ${settings.nodeName} ${line.trim()}\n`).join(""));
+            return file;
+        });
+        const printed: string[] = [];
+        await runExplain("a6", files, line => printed.push(line));
+        expect(printed[0]).to.match(/^a6: refused by edge/);
+        expect(printed.join("\n")).to.contain("run-ended");
+        const empty = join(folder, "empty.log");
+        writeFileSync(empty, "nothing\n");
+        const codeOf = async (id: string, names: readonly string[]) => {
+            try {
+                await runExplain(id, names, () => undefined);
+            }
+            catch (err) {
+                if (err instanceof CommandError) return err.issues[0]?.code;
+                throw err;
+            }
+            return "ok";
+        };
+        expect(await codeOf("a6", [empty])).to.equal("no-lines");
+        expect(await codeOf("a6", [join(folder, "none.log")])).to.equal("unreadable");
+        expect(await codeOf("none", files)).to.equal("unknown-request");
+    });
+});
--- a/test/support/meshFixtures.ts
+++ b/test/support/meshFixtures.ts
@@ -1,5 +1,6 @@
 /** Values of the data plane for tests. */
-import type { MeshConfig, Route } from "../../src/mesh/types.ts";
+import type { Call } from "../../src/mesh/call.ts";
+import type { MeshConfig, Route, RunRequest } from "../../src/mesh/types.ts";
 
 export function makeRoute(fields: Partial<Route> = {}): Route {
     return {
@@ -30,3 +31,64 @@
         ...fields,
     };
 }
+
+export interface CallOptions {
+    readonly id?: string;
+    readonly headers?: string;
+    readonly body?: string;
+    readonly route?: Route;
+    readonly isTraced?: boolean;
+}
+
+export function makeCall(
+    { id = "q", headers = "", body = "", route = makeRoute(), isTraced = false }: CallOptions = {},
+): Call {
+    const head = {
+        method: "GET",
+        path: "/r/",
+        host: "h",
+        requestId: id,
+        deadlineMs: 2000,
+        keepAlive: true,
+        expectsContinue: false,
+        headers,
+        framing: { kind: "length", bytes: body.length },
+    } as const;
+    return {
+        req: { head, body: Buffer.from(body) },
+        route,
+        service: "s",
+        parent: undefined,
+        isTraced,
+        level: 130,
+        startedAt: 0,
+        endsAt: 2000,
+        reply: () => undefined,
+        tried: [],
+        timer: undefined,
+        sends: 0,
+        redirects: 0,
+        mayHaveRun: false,
+        cancelSend: undefined,
+        isDone: false,
+    };
+}
+
+export function makeRunRequest(fields: Partial<RunRequest> = {}): RunRequest {
+    return {
+        requestId: "q",
+        service: "s",
+        route: "r",
+        callerService: "c",
+        method: "GET",
+        path: "/r/",
+        headers: "",
+        body: Buffer.alloc(0),
+        isIdempotent: true,
+        isNested: false,
+        level: 130,
+        leftMs: 2000,
+        queueMs: 300,
+        ...fields,
+    };
+}
