--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -78,6 +78,7 @@
     private service: string;
     private serial = 0;
     private stoppingSince: number | undefined;
+    private stopped: Promise<void> | undefined;
     private ticks = 0;
     private tickTimer: NodeJS.Timeout | undefined;
     private earlierTarget: TargetRecord | undefined;
@@ -184,9 +185,13 @@
         if (this.register.leave(id)) this.onTargetRecord(before);
     }
 
-    /** Stops in order: takes no new work, ends what is in progress, then resolves. */
-    async stop(): Promise<void> {
-        if (this.stoppingSince !== undefined) return;
+    /** Stops in order: takes no new work, ends what is in progress, then resolves; a second call waits for the same. */
+    stop(): Promise<void> {
+        this.stopped ??= this.stopInOrder();
+        return this.stopped;
+    }
+
+    private async stopInOrder(): Promise<void> {
         this.stoppingSince = steadyNow();
         this.options.log.change("stopping", {
             active: this.forwarder.activeCount,
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -325,4 +325,22 @@
         expect((await Promise.all(inProgress)).map(({ status }) => status)).to.deep.equal(Array(6).fill(200));
         await stopped;
     });
+
+    it("cuts no request when the stop signal comes twice", async () => {
+        await startShop();
+        const [edge, one, two] = mesh.hosts;
+        for (const { app } of [one!, two!]) app.mode = "hold";
+        const inProgress = Array.from(
+            { length: 4 },
+            (_, index) => edge!.send({ path: "/unsafe/", id: `q${index}`, method: "POST" }),
+        );
+        await until("all run", () => one!.app.ran.length + two!.app.ran.length === 4);
+        const first = one!.node.stop();
+        const second = one!.node.stop();
+        await new Promise(resolve => setTimeout(resolve, 50));
+        one!.app.release();
+        two!.app.release();
+        expect((await Promise.all(inProgress)).map(({ status }) => status)).to.deep.equal(Array(4).fill(200));
+        await Promise.all([first, second]);
+    });
 });
