--- a/src/policy/balancer.ts
+++ b/src/policy/balancer.ts
@@ -28,6 +28,11 @@
 /** How much slower the own data centre may be before requests go elsewhere. */
 const NEAR_FACTOR = 1.7;
 const NEAR_SLACK_MS = 12;
+/**
+ * A filled target elsewhere is taken only if it is expected to be faster by more than this factor than one in the own
+ * data centre: two that are equally loaded would else exchange their requests.
+ */
+const FAR_FACTOR = 1.25;
 /** The own host saves a hop. */
 const LOCAL_HOST_FACTOR = 0.9;
 /** A report is believed less and less and counts nothing after this time. */
@@ -70,17 +75,22 @@
         if (ms < best) best = ms;
     }
     near.length = 0;
+    own.length = 0;
     for (const index of usable) {
         const candidate = candidates[index]!;
-        if (!candidate.isLocalDataCentre || fillOf(candidate, now) > KNEE) continue;
+        if (!candidate.isLocalDataCentre) continue;
+        own.push(index);
+        if (fillOf(candidate, now) > KNEE) continue;
         if (times[index]! <= best * NEAR_FACTOR + NEAR_SLACK_MS) near.push(index);
     }
-    return betterOfTwo(near.length > 0 ? near : usable, candidates, rand);
+    if (near.length > 0) return betterOfTwo(near, near, candidates, now, rand);
+    return betterOfTwo(own.length > 0 ? own : usable, usable, candidates, now, rand);
 }
 
 /** Scratch space of one choice. */
 const all: number[] = [];
 const sound: number[] = [];
+const own: number[] = [];
 const near: number[] = [];
 const times: number[] = [];
 
@@ -107,17 +117,24 @@
     return count === 0 ? DEFAULT_SERVICE_MS : sum / count;
 }
 
+/** Draws one candidate from each list and returns the better one. */
 function betterOfTwo(
-    indexes: readonly number[],
+    firsts: readonly number[],
+    seconds: readonly number[],
     candidates: readonly Candidate[],
+    now: number,
     rand: () => number,
 ): number {
-    const { length } = indexes;
-    if (length === 1) return indexes[0]!;
-    const first = Math.floor(rand() * length);
-    const second = (first + 1 + Math.floor(rand() * (length - 1))) % length;
-    const [one, two] = [indexes[first]!, indexes[second]!];
-    const costOne = times[one]! * (candidates[one]!.isLocalHost ? LOCAL_HOST_FACTOR : 1);
-    const costTwo = times[two]! * (candidates[two]!.isLocalHost ? LOCAL_HOST_FACTOR : 1);
-    return costOne <= costTwo ? one : two;
+    const one = firsts[Math.floor(rand() * firsts.length)]!;
+    let at = Math.floor(rand() * seconds.length);
+    if (seconds[at] === one) at = (at + 1) % seconds.length;
+    const two = seconds[at]!;
+    return costOf(one, candidates, now) <= costOf(two, candidates, now) ? one : two;
+}
+
+function costOf(index: number, candidates: readonly Candidate[], now: number): number {
+    const candidate = candidates[index]!;
+    const ms = times[index]!;
+    if (candidate.isLocalHost) return ms * LOCAL_HOST_FACTOR;
+    return candidate.isLocalDataCentre || fillOf(candidate, now) <= KNEE ? ms : ms * FAR_FACTOR;
 }
--- a/test/mesh/policy.test.ts
+++ b/test/mesh/policy.test.ts
@@ -1,5 +1,7 @@
 /** Decisions of the data plane, without a network. */
 import { expect } from "chai";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { Candidate } from "../../src/policy/balancer.ts";
 import { chooseTarget } from "../../src/policy/balancer.ts";
 import { Cutoff } from "../../src/policy/cutoff.ts";
@@ -15,6 +17,11 @@
 import { PriorityQueue } from "../../src/policy/runQueue.ts";
 import { makeConfig, makeRoute } from "../support/meshFixtures.ts";
 
+function makeRandom(): () => number {
+    const generator = xoroshiro128plus(7);
+    return () => uniformInt(generator, 0, 0xffff) / 0x10000;
+}
+
 function makeCandidate(fields: Partial<Candidate> = {}): Candidate {
     return {
         isLocalHost: false,
@@ -65,6 +72,18 @@
         expect(chosen).to.include(1);
     });
 
+    it("keeps filled targets from exchanging requests between data centres", () => {
+        const filled = { ...report, running: 20, queued: 4 };
+        const local = makeCandidate({ isLocalDataCentre: true, report: filled });
+        const remotes = [makeCandidate({ report: filled }), makeCandidate({ report: filled })];
+        const rand = makeRandom();
+        const chosen = Array.from({ length: 300 }, () => chooseTarget([local, ...remotes], 0, rand));
+        expect(chosen.filter(index => index === 0).length).to.equal(300);
+        const fuller = { ...local, report: { ...report, running: 20, queued: 20 } };
+        const spilled = Array.from({ length: 300 }, () => chooseTarget([fuller, ...remotes], 0, rand));
+        expect(spilled.filter(index => index !== 0).length).to.equal(300);
+    });
+
     it("leaves the own data centre when its targets are full or slow", () => {
         const full = makeCandidate({ isLocalDataCentre: true, pending: 40 });
         const slow = makeCandidate({ isLocalDataCentre: true, report: { ...report, serviceMs: 400 } });
