--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -57,6 +57,11 @@
 };
 /** After a stop signal, clients may still send for this long: they leave only when readiness has failed twice. */
 const STOP_LINGER_MS = 2300;
+/**
+ * Part of the grace period in which a stopping node still runs requests of other nodes: its target lives on and cannot
+ * be reached in another way. They have the rest of the time to end.
+ */
+const STOP_RUN_SHARE = 0.2;
 /** After this time from a stop signal, requests of clients are refused: they might outlast the process. */
 const STOP_ADMIT_MS = 2900;
 /** Time left before the end of the grace period at which the process ends whatever is in progress: exits take time. */
@@ -79,6 +84,7 @@
     private serial = 0;
     private stoppingSince: number | undefined;
     private stopped: Promise<void> | undefined;
+    private isRefusingRuns = false;
     private ticks = 0;
     private tickTimer: NodeJS.Timeout | undefined;
     private earlierTarget: TargetRecord | undefined;
@@ -135,7 +141,7 @@
             ...options.peer,
             runner: this.runner,
             configVersion: () => this.configVersion,
-            isStopping: () => this.stoppingSince !== undefined,
+            isStopping: () => this.isRefusingRuns,
             rpcServer: this.peers.rpcServer,
             onUp: frames => this.peers.greet(frames),
         });
@@ -197,7 +203,7 @@
             active: this.forwarder.activeCount,
             runs: this.runner.activeCount,
         });
-        this.publishChange();
+        setTimeout(() => this.endRuns(), this.options.graceMs * STOP_RUN_SHARE);
         // A node whose target lives on comes back at the same place; its record stays.
         if (this.register.record === undefined || this.register.record.state === "gone") {
             this.options.store.publish(this.options.name, undefined);
@@ -210,6 +216,12 @@
         this.close();
     }
 
+    /** From here on other nodes send their requests elsewhere. */
+    private endRuns(): void {
+        this.isRefusingRuns = true;
+        this.publishChange();
+    }
+
     private whenDone(): Promise<void> {
         return new Promise(resolve => {
             const timer = setInterval(() => {
@@ -284,14 +296,13 @@
 
     private ownRecord(): NodeRecord {
         const { record } = this.register;
-        const isStopping = this.stoppingSince !== undefined;
         return {
             name: this.options.name,
             address: this.ownAddress,
             dataCentre: this.options.dataCentre,
             startedAt: this.options.startedAt,
             serial: this.serial,
-            target: record !== undefined && isStopping ? { ...record, state: "draining" } : record,
+            target: record !== undefined && this.isRefusingRuns ? { ...record, state: "draining" } : record,
         };
     }
 
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -343,4 +343,15 @@
         expect((await Promise.all(inProgress)).map(({ status }) => status)).to.deep.equal(Array(4).fill(200));
         await Promise.all([first, second]);
     });
+
+    it("still reaches the target beside a node that has just begun to stop, then no more", async () => {
+        await mesh.start([{ name: "edge", service: "stock" }, { name: "shop-1", service: "shop" }]);
+        const [edge, one] = mesh.hosts;
+        const stopped = one!.node.stop();
+        expect((await edge!.send({ path: "/unsafe/", id: "q1", method: "POST" })).status).to.equal(200);
+        await until("told", () => edge!.node.node.directory.get("shop-1")?.isUsable === false);
+        expect((await edge!.send({ path: "/unsafe/", id: "q2", method: "POST" })).status).to.equal(503);
+        await stopped;
+        expect(one!.app.ran.map(({ id }) => id)).to.deep.equal(["q1"]);
+    });
 });
