--- a/src/mesh/call.ts
+++ b/src/mesh/call.ts
@@ -23,7 +23,10 @@
     redirects: number;
     /** Whether some send may have run the request. */
     mayHaveRun: boolean;
+    /** Ends the send in progress. */
     cancelSend: (() => void) | undefined;
+    /** Ends an earlier send to a target that has gone silent; its answer still counts. */
+    cancelEarlier: (() => void) | undefined;
     isDone: boolean;
 }
 
--- a/src/mesh/callLog.ts
+++ b/src/mesh/callLog.ts
@@ -5,7 +5,7 @@
 import type { Call } from "./call.ts";
 import { steadyNow } from "./clock.ts";
 import type { EventLog, LogFields } from "./eventLog.ts";
-import type { FailureReason, RefusalReason } from "./types.ts";
+import type { FailureReason, RefusalReason, RepeatReason } from "./types.ts";
 
 export interface CallLogOptions {
     readonly log: EventLog;
@@ -31,12 +31,12 @@
         if (call.isTraced) this.log.step("redirected", { reason, ...this.fields(call) });
     }
 
-    repeated(call: Call, reason: RefusalReason | FailureReason | "answer-5xx"): void {
+    repeated(call: Call, reason: RepeatReason): void {
         this.decision("repeated", call, { reason });
     }
 
     /** Another send would have been of use, but the budget of repeats did not allow it. */
-    notRepeated(call: Call, reason: RefusalReason | FailureReason | "answer-5xx"): void {
+    notRepeated(call: Call, reason: RepeatReason): void {
         this.decision("not-repeated", call, { reason });
     }
 
--- a/src/mesh/counters.ts
+++ b/src/mesh/counters.ts
@@ -1,5 +1,5 @@
 /** Counters of the data plane: plain numbers on the request path, turned into metrics only when they are read. */
-import type { FailureReason, RefusalReason } from "./types.ts";
+import type { FailureReason, RefusalReason, RepeatReason } from "./types.ts";
 
 export class Counters {
     readonly requests = new Map<string, number>();
@@ -20,7 +20,7 @@
         add(this.failures, reason);
     }
 
-    countRepeat(reason: RefusalReason | FailureReason | "answer-5xx"): void {
+    countRepeat(reason: RepeatReason): void {
         add(this.repeats, reason);
     }
 
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -5,7 +5,6 @@
 import type { RequestHead } from "../http/heads.ts";
 import type { HttpAnswer, Reply } from "../http/leanServer.ts";
 import type { Message } from "../http/messageReader.ts";
-import { chooseTarget } from "../policy/balancer.ts";
 import { EntryCutoffs } from "../policy/entryCutoff.ts";
 import { levelOf, MAX_LEVEL } from "../policy/level.ts";
 import type { RetryBudget } from "../policy/retryBudget.ts";
@@ -14,69 +13,57 @@
 import { findRoute, SplitChooser } from "../policy/routeTable.ts";
 import type { RouteUse, RouteUses } from "../policy/routeUses.ts";
 import { plainAnswer, refusalAnswer } from "./answers.ts";
-import { isTargetFault, targetWaitMs } from "./call.ts";
+import { targetWaitMs } from "./call.ts";
 import type { Call } from "./call.ts";
 import { CallLog } from "./callLog.ts";
 import { steadyNow } from "./clock.ts";
 import type { Counters } from "./counters.ts";
-import type { Directory, KnownNode } from "./directory.ts";
+import { Dispatcher } from "./dispatcher.ts";
+import type { DispatcherOptions } from "./dispatcher.ts";
 import type { EventLog } from "./eventLog.ts";
 import type { LatencySamples } from "./latencySamples.ts";
-import type { OnOutcome } from "./peerLink.ts";
-import type { Run, Runner } from "./runner.ts";
-import type {
-    FailureReason,
-    LoadReport,
-    MeshConfig,
-    Outcome,
-    RefusalReason,
-    Route,
-    RunRequest,
-} from "./types.ts";
+import type { Run } from "./runner.ts";
+import type { FailureReason, MeshConfig, Outcome, RefusalReason, Route } from "./types.ts";
 
-export interface ForwarderOptions {
-    readonly service: () => string;
+export interface ForwarderOptions extends
+    Pick<
+        DispatcherOptions,
+        "service" | "directory" | "runner" | "sendTo" | "onConfigVersion"
+    >
+{
     readonly config: () => MeshConfig | undefined;
-    readonly directory: Directory;
-    readonly runner: Runner;
     readonly budget: RetryBudget;
     readonly counters: Counters;
     readonly latencies: LatencySamples;
     readonly log: EventLog;
-    /** Sends to another node; returns a function that cancels. */
-    readonly sendTo: (node: KnownNode, req: RunRequest, onOutcome: OnOutcome) => () => void;
     /** Whether the process ends too soon for another client request. */
     readonly isEnding: () => boolean;
     readonly uses: RouteUses;
     readonly onNewUse: (use: RouteUse) => void;
-    readonly onConfigVersion: (node: KnownNode, version: number) => void;
     readonly rand?: () => number;
 }
 
 const DEFAULT_DEADLINE_MS = 30_000;
 const MAX_ID_BYTES = 255;
-/** Part of the latency objective that a request of a client may wait for a slot. */
-const ROOT_QUEUE_SHARE = 0.3;
-/** Calls of a run have cost capacity already and may wait longer. */
-const NESTED_QUEUE_SHARE = 0.6;
 const TARGET_WAIT_STEP_MS = 25;
 const TIMER_GRAIN_MS = 4;
-const AVOID_AFTER_FAILURE_MS = 250;
+/** Less time than this is not worth a second send beside the first. */
+const MIN_REPEAT_LEFT_MS = 25;
 
 export class Forwarder {
     private readonly splits = new SplitChooser();
     private readonly cutoffs: EntryCutoffs;
     private readonly breaker = new RouteBreaker();
     private readonly log: CallLog;
+    private readonly dispatcher: Dispatcher;
     private readonly rand: () => number;
-    /** Scratch space of one choice of a target. */
-    private readonly nodes: KnownNode[] = [];
     private active = 0;
 
     constructor(private readonly options: ForwarderOptions) {
         this.rand = options.rand ?? Math.random;
         this.cutoffs = new EntryCutoffs(service => options.directory.ofService(service));
         this.log = new CallLog({ log: options.log, configVersion: () => options.config()?.version });
+        this.dispatcher = new Dispatcher({ ...options, calls: this.log, rand: this.rand });
     }
 
     get activeCount(): number {
@@ -134,6 +121,7 @@
             redirects: 0,
             mayHaveRun: false,
             cancelSend: undefined,
+            cancelEarlier: undefined,
             isDone: false,
         };
     }
@@ -192,39 +180,40 @@
 
     private attempt(call: Call, lastReason: RefusalReason = "no-target"): void {
         const now = steadyNow();
-        const { nodes } = this;
-        nodes.length = 0;
-        for (const node of this.options.directory.ofService(call.service)) {
-            if (node.isUsable && !call.tried.includes(node)) nodes.push(node);
-        }
-        const index = chooseTarget(nodes, now, this.rand);
-        if (index < 0) {
-            this.onNoTarget(call, now, lastReason);
+        const isSent = this.dispatcher.send(call, now, {
+            onOver: (outcome, isEarlier) => this.onSendOver(call, outcome, isEarlier),
+            onSilent: () => this.onSilent(call),
+        });
+        if (!isSent) this.onNoTarget(call, now, lastReason);
+    }
+
+    /** One of up to two sends in progress is over; a failure does not count while the other one goes on. */
+    private onSendOver(call: Call, outcome: Outcome, isEarlier: boolean): void {
+        const hasServed = outcome.kind === "answer" && outcome.status < 500;
+        const other = isEarlier ? call.cancelSend : call.cancelEarlier;
+        call.cancelEarlier = undefined;
+        call.cancelSend = hasServed ? undefined : other;
+        if (hasServed) other?.();
+        if (!hasServed && other !== undefined) this.countSend(call, outcome);
+        else this.onOutcome(call, outcome);
+    }
+
+    /** The target has gone silent: the request is also sent elsewhere, and the first useful answer counts. */
+    private onSilent(call: Call): void {
+        const now = steadyNow();
+        const { route } = call;
+        const isAllowed = route.isIdempotent && call.cancelEarlier === undefined
+            && call.sends + 1 < route.maxAttempts && call.endsAt - now > MIN_REPEAT_LEFT_MS;
+        if (!isAllowed) return;
+        if (!this.dispatcher.hasOther(call) || !this.takeRepeat(call, true, now)) {
+            this.log.notRepeated(call, "target-silent");
             return;
         }
-        const node = nodes[index]!;
-        call.tried.push(node);
-        this.log.sent(call);
-        node.pending++;
-        let isOver = false;
-        const onOutcome: OnOutcome = (outcome, load) => {
-            if (isOver) return;
-            isOver = true;
-            node.pending--;
-            call.cancelSend = undefined;
-            this.learn(call, node, outcome, load);
-            if (!call.isDone) this.onOutcome(call, outcome);
-        };
-        const cancel = node.isLocalHost
-            ? this.runHere(call, now, onOutcome)
-            : this.options.sendTo(node, this.runRequest(call, now), onOutcome);
-        if (isOver) return;
-        call.cancelSend = () => {
-            if (isOver) return;
-            isOver = true;
-            node.pending--;
-            cancel();
-        };
+        this.options.counters.countRepeat("target-silent");
+        this.log.repeated(call, "target-silent");
+        call.mayHaveRun = true;
+        call.cancelEarlier = call.cancelSend;
+        this.attempt(call);
     }
 
     /** Right after a start or a loss the next target is often there in a moment. */
@@ -237,52 +226,16 @@
         call.cancelSend = () => clearTimeout(timer);
     }
 
-    private runHere(call: Call, now: number, onOutcome: OnOutcome): () => void {
-        const { runner } = this.options;
-        const run = runner.submit(
-            this.runRequest(call, now),
-            outcome => onOutcome(outcome, runner.load(0)),
-        );
-        return () => runner.cancel(run);
-    }
-
-    private runRequest(call: Call, now: number): RunRequest {
-        const { req, route } = call;
-        const leftMs = Math.max(0, call.endsAt - now);
-        return {
-            requestId: req.head.requestId,
-            service: call.service,
-            route: route.name,
-            callerService: this.options.service(),
-            method: req.head.method,
-            path: req.head.path,
-            headers: req.head.headers,
-            body: req.body,
-            isIdempotent: route.isIdempotent,
-            isNested: call.parent !== undefined,
-            level: call.level,
-            leftMs,
-            queueMs: call.parent === undefined
-                ? route.latencyObjectiveMs * ROOT_QUEUE_SHARE
-                : leftMs * NESTED_QUEUE_SHARE,
-        };
-    }
-
-    private learn(call: Call, node: KnownNode, outcome: Outcome, load: LoadReport | undefined): void {
-        const now = steadyNow();
-        if (load !== undefined) {
-            node.noteReport(load, now);
-            this.options.onConfigVersion(node, load.configVersion);
-        }
-        if (isTargetFault(outcome)) node.avoidUntil = now + AVOID_AFTER_FAILURE_MS;
-    }
-
-    private onOutcome(call: Call, outcome: Outcome): void {
+    private countSend(call: Call, outcome: Outcome): void {
         const wasSeen = outcome.kind !== "not-run" || outcome.reason === "target-shed"
             || outcome.reason === "wrong-service";
         if (wasSeen) call.sends++;
         else call.redirects++;
         if (outcome.kind !== "not-run") call.mayHaveRun = true;
+    }
+
+    private onOutcome(call: Call, outcome: Outcome): void {
+        this.countSend(call, outcome);
         const now = steadyNow();
         const decision = decideRetry({
             outcome,
@@ -308,7 +261,7 @@
 
     private repeat(call: Call, outcome: Outcome, mayHaveRun: boolean, now: number): void {
         const why = outcome.kind === "answer" ? "answer-5xx" : outcome.reason;
-        if (!this.mayRepeat(call) || !this.takeRepeat(call, mayHaveRun, now)) {
+        if (!this.dispatcher.hasOther(call) || !this.takeRepeat(call, mayHaveRun, now)) {
             this.log.notRepeated(call, why);
             this.end(call, outcome);
             return;
@@ -323,12 +276,6 @@
         return budget.take(repeatCharges(call.service, uses.servicesOf(call.route.name), mayHaveRun), now);
     }
 
-    /** Whether another target is there; asked before the budget is used. */
-    private mayRepeat(call: Call): boolean {
-        return this.options.directory.ofService(call.service)
-            .some(node => node.isUsable && !call.tried.includes(node));
-    }
-
     private end(call: Call, outcome: Outcome): void {
         switch (outcome.kind) {
             case "answer":
@@ -370,7 +317,7 @@
     private onTimeout(call: Call): void {
         if (call.isDone) return;
         call.timer = undefined;
-        call.cancelSend?.();
+        this.cancelSends(call);
         this.fail(call, "timeout");
     }
 
@@ -378,10 +325,15 @@
         if (call.isDone) return;
         this.options.counters.countFailed("caller-gone");
         this.log.cancelled(call);
-        call.cancelSend?.();
+        this.cancelSends(call);
         this.close(call);
     }
 
+    private cancelSends(call: Call): void {
+        call.cancelSend?.();
+        call.cancelEarlier?.();
+    }
+
     private finish(call: Call, answer: HttpAnswer): void {
         this.close(call);
         call.reply(answer);
--- a/src/mesh/frameSocket.ts
+++ b/src/mesh/frameSocket.ts
@@ -124,6 +124,7 @@
             case "response":
             case "cancel":
             case "cutoff":
+            case "silent":
                 this.options.onFrame(frame);
         }
     }
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -16,6 +16,8 @@
     | { readonly type: "cancel"; readonly stream: number; }
     /** The cut-off of the sender's target has changed; it stands in the place of the number. */
     | { readonly type: "cutoff"; readonly stream: number; }
+    /** The target has answered nothing for a while; the request is still there. */
+    | { readonly type: "silent"; readonly stream: number; }
     | { readonly type: "ping"; readonly stream: number; }
     | { readonly type: "pong"; readonly stream: number; }
     | { readonly type: "rpc"; readonly message: string; };
@@ -34,8 +36,9 @@
 const PONG = 5;
 const RPC = 6;
 const CUTOFF = 7;
+const SILENT = 8;
 
-const SIGNALS = { cancel: CANCEL, ping: PING, pong: PONG, cutoff: CUTOFF } as const;
+const SIGNALS = { cancel: CANCEL, ping: PING, pong: PONG, cutoff: CUTOFF, silent: SILENT } as const;
 
 const ANSWER = 0;
 const NOT_RUN = 1;
@@ -181,6 +184,8 @@
             return { type: "cancel", stream };
         case CUTOFF:
             return { type: "cutoff", stream };
+        case SILENT:
+            return { type: "silent", stream };
         case PING:
             return { type: "ping", stream };
         case PONG:
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -123,7 +123,7 @@
             counters: this.counters,
             latencies: this.latencies,
             log: options.log,
-            sendTo: (node, req, onOutcome) => this.peers.send(node, req, onOutcome),
+            sendTo: (node, req, listener) => this.peers.send(node, req, listener),
             isEnding: () =>
                 this.stoppingSince !== undefined && steadyNow() - this.stoppingSince > STOP_ADMIT_MS,
             uses: this.uses,
--- a/src/mesh/peerLink.ts
+++ b/src/mesh/peerLink.ts
@@ -6,7 +6,12 @@
 import type { DataFrame } from "./frameSocket.ts";
 import type { LoadReport, Outcome, RunRequest } from "./types.ts";
 
-export type OnOutcome = (outcome: Outcome, load: LoadReport | undefined) => void;
+/** What becomes of a request that was sent to a node. */
+export interface SendListener {
+    onOutcome(outcome: Outcome, load: LoadReport | undefined): void;
+    /** The target has gone silent; the request is still there, and an outcome follows. */
+    onSilent(): void;
+}
 
 export interface PeerLinkOptions {
     readonly address: string;
@@ -24,7 +29,7 @@
 
 export class PeerLink {
     private frames: FrameSocket | undefined;
-    private readonly pending = new Map<number, OnOutcome>();
+    private readonly pending = new Map<number, SendListener>();
     private nextStream = 1;
     private backoffMs = FIRST_BACKOFF_MS;
     private retryTimer: NodeJS.Timeout | undefined;
@@ -35,14 +40,14 @@
     }
 
     /** Sends a request; returns the number by which it can be cancelled. */
-    send(req: RunRequest, onOutcome: OnOutcome): number {
+    send(req: RunRequest, listener: SendListener): number {
         const stream = this.nextStream;
         this.nextStream = stream === 0xffffffff ? 1 : stream + 1;
         if (this.frames === undefined) {
-            onOutcome({ kind: "not-run", reason: "link-down" }, undefined);
+            listener.onOutcome({ kind: "not-run", reason: "link-down" }, undefined);
             return 0;
         }
-        this.pending.set(stream, onOutcome);
+        this.pending.set(stream, listener);
         this.frames.write(encodeRequest(stream, req));
         return stream;
     }
@@ -113,11 +118,12 @@
 
     private onFrame(frame: DataFrame): void {
         if (frame.type === "cutoff") this.options.onCutoff(frame.stream);
+        if (frame.type === "silent") this.pending.get(frame.stream)?.onSilent();
         if (frame.type !== "response") return;
-        const onOutcome = this.pending.get(frame.stream);
-        if (onOutcome === undefined) return;
+        const listener = this.pending.get(frame.stream);
+        if (listener === undefined) return;
         this.pending.delete(frame.stream);
-        onOutcome(frame.outcome, frame.load);
+        listener.onOutcome(frame.outcome, frame.load);
     }
 
     private onClose(): void {
@@ -125,7 +131,7 @@
         const lost = [...this.pending.values()];
         this.pending.clear();
         this.options.onDown(this);
-        for (const onOutcome of lost) onOutcome({ kind: "unknown", reason: "link-lost" }, undefined);
+        for (const listener of lost) listener.onOutcome({ kind: "unknown", reason: "link-lost" }, undefined);
         this.retryLater();
     }
 
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -47,6 +47,7 @@
                 return;
             case "response":
             case "cutoff":
+            case "silent":
         }
     }
 
@@ -62,7 +63,8 @@
             reply({ kind: "not-run", reason: "stopping" });
             return;
         }
-        const run = this.options.runner.submit(req, reply);
+        const onSilent = () => this.frames.write(encodeSignal("silent", stream));
+        const run = this.options.runner.submit(req, { onDone: reply, onSilent });
         if (!isOver) this.runs.set(stream, run);
     }
 
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -11,7 +11,7 @@
 import type { EventLog } from "./eventLog.ts";
 import type { FrameSocket } from "./frameSocket.ts";
 import { PeerLink } from "./peerLink.ts";
-import type { OnOutcome } from "./peerLink.ts";
+import type { SendListener } from "./peerLink.ts";
 import type { NodeRecord, RunRequest } from "./types.ts";
 
 export interface PeersOptions {
@@ -56,13 +56,13 @@
         this.addRpcMethods();
     }
 
-    send(node: KnownNode, req: RunRequest, onOutcome: OnOutcome): () => void {
+    send(node: KnownNode, req: RunRequest, listener: SendListener): () => void {
         const link = this.links.get(node);
         if (link === undefined) {
-            onOutcome({ kind: "not-run", reason: "link-down" }, undefined);
+            listener.onOutcome({ kind: "not-run", reason: "link-down" }, undefined);
             return () => undefined;
         }
-        const stream = link.send(req, onOutcome);
+        const stream = link.send(req, listener);
         return () => link.cancel(stream);
     }
 
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -14,15 +14,22 @@
 import type { Reply, TargetPoolOptions } from "./targetPool.ts";
 import type { FailureReason, LoadReport, Outcome, RefusalReason, RunRequest, TargetRecord } from "./types.ts";
 
+export interface RunListener {
+    onDone(outcome: Outcome): void;
+    /** The target has answered nothing for a while. */
+    onSilent(): void;
+}
+
 export interface Run extends Waiting {
     readonly req: RunRequest;
     readonly isTraced: boolean;
     readonly arrivedAt: number;
     readonly deadlineAt: number;
-    readonly onDone: (outcome: Outcome) => void;
+    readonly listener: RunListener;
     startedAt: number;
     breakOff: (() => void) | undefined;
     isDone: boolean;
+    isToldSilent: boolean;
 }
 
 export interface RunnerOptions extends TargetPoolOptions {
@@ -115,7 +122,7 @@
         this.startQueued();
     }
 
-    submit(req: RunRequest, onDone: (outcome: Outcome) => void): Run {
+    submit(req: RunRequest, listener: RunListener): Run {
         const now = steadyNow();
         const run: Run = {
             req,
@@ -124,10 +131,11 @@
             arrivedAt: now,
             deadlineAt: now + req.leftMs,
             waitUntil: now + Math.min(req.queueMs, req.leftMs),
-            onDone,
+            listener,
             startedAt: 0,
             breakOff: undefined,
             isDone: false,
+            isToldSilent: false,
         };
         const refusal = this.refusalOf(run, now);
         if (refusal !== undefined) this.refuse(run, refusal);
@@ -175,7 +183,7 @@
         this.failureRate *= FAILURE_FADING;
         this.pool.closeStale(now);
         this.giveUpOverdue(now);
-        this.giveUpSilent(now);
+        this.tellSilent(now);
     }
 
     close(): void {
@@ -231,7 +239,7 @@
         run.isDone = true;
         this.counters.countRunRefused(reason);
         this.log.refused(run, steadyNow(), reason);
-        run.onDone({ kind: "not-run", reason });
+        run.listener.onDone({ kind: "not-run", reason });
     }
 
     private refuseQueued(reason: RefusalReason): void {
@@ -309,7 +317,7 @@
     private finish(run: Run, outcome: Outcome): void {
         this.log.ended(run, steadyNow(), outcome);
         this.end(run);
-        run.onDone(outcome);
+        run.listener.onDone(outcome);
     }
 
     private end(run: Run): void {
@@ -344,11 +352,17 @@
         return now - this.lastProgressAt > Math.max(SILENT_MS, SILENT_SERVICE_TIMES * this.serviceMs);
     }
 
-    private giveUpSilent(now: number): void {
+    /**
+     * What waits is refused. What runs is left to run, since silence does not tell whether the target is at work, but
+     * its callers may send it elsewhere as well.
+     */
+    private tellSilent(now: number): void {
         if (!this.isSilent(now)) return;
         this.refuseQueued("target-down");
         for (const run of this.running.values()) {
-            if (run.req.isIdempotent && now - run.startedAt > SILENT_MS) this.giveUp(run, "connection-lost");
+            if (!run.req.isIdempotent || run.isToldSilent || now - run.startedAt <= SILENT_MS) continue;
+            run.isToldSilent = true;
+            run.listener.onSilent();
         }
     }
 }
--- a/src/mesh/types.ts
+++ b/src/mesh/types.ts
@@ -94,6 +94,9 @@
     | "caller-gone"
     | "stopping";
 
+/** Why a request is sent to another target after one has seen it. */
+export type RepeatReason = RefusalReason | FailureReason | "answer-5xx" | "target-silent";
+
 export interface Answer {
     readonly kind: "answer";
     readonly status: number;
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -354,4 +354,33 @@
         await stopped;
         expect(one!.app.ran.map(({ id }) => id)).to.deep.equal(["q1"]);
     });
+
+    it("sends a request beside one that a silent target holds, and takes the first useful answer", async () => {
+        await startShop();
+        const [edge, one, two] = mesh.hosts;
+        one!.app.mode = "hold";
+        two!.app.mode = "hold";
+        const answer = edge!.send({ path: "/safe/", id: "q1" });
+        await until("runs", () => ranBy("q1").length === 1);
+        const [held] = ranBy("q1");
+        const other = held === one ? two! : one!;
+        other.app.mode = "well";
+        expect((await answer).body).to.equal(`${other.app.id} answers q1`);
+        await until("broken off", () => held!.app.aborted.includes("q1"));
+    });
+
+    it("leaves a request at a silent target when it cannot be sent elsewhere, also when its node stops", async () => {
+        await mesh.start([{ name: "edge", service: "stock" }, { name: "shop-1", service: "shop" }]);
+        const [edge, one] = mesh.hosts;
+        one!.app.mode = "hold";
+        const answer = edge!.send({ path: "/safe/", id: "q1" });
+        await until("runs", () => one!.app.ran.length === 1);
+        const stopped = edge!.node.stop();
+        // Longer than the silence after which a target counts as silent.
+        await new Promise(resolve => setTimeout(resolve, 1200));
+        one!.app.release();
+        expect((await answer).status).to.equal(200);
+        expect(one!.app.aborted).to.deep.equal([]);
+        await stopped;
+    });
 });
--- a/test/support/meshFixtures.ts
+++ b/test/support/meshFixtures.ts
@@ -70,6 +70,7 @@
         redirects: 0,
         mayHaveRun: false,
         cancelSend: undefined,
+        cancelEarlier: undefined,
         isDone: false,
     };
 }
