--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -94,14 +94,13 @@
 
 export function encodeResponse(stream: number, outcome: Outcome, load: LoadReport): Buffer {
     const extra = outcome.kind === "answer" ? 6 + outcome.headers.length + outcome.body.length : 1;
-    const buf = Buffer.allocUnsafe(HEADER_BYTES + 20 + extra);
+    const buf = Buffer.allocUnsafe(HEADER_BYTES + 19 + extra);
     let at = header(buf, RESPONSE, stream);
     at = buf.writeUInt16BE(load.cutoff, at);
     at = buf.writeUInt16BE(Math.min(load.running, 0xffff), at);
     at = buf.writeUInt16BE(Math.min(load.queued, 0xffff), at);
     at = buf.writeUInt16BE(Math.min(load.limit, 0xffff), at);
     at = buf.writeUInt32BE(toUInt32(load.serviceMs * 100), at);
-    at = buf.writeUInt8(Math.round(load.failureShare * 255), at);
     at = buf.writeUInt32BE(load.configVersion, at);
     switch (outcome.kind) {
         case "answer":
@@ -247,7 +246,6 @@
         queued: fields.uint16(),
         limit: fields.uint16(),
         serviceMs: fields.uint32() / 100,
-        failureShare: fields.byte() / 255,
         configVersion: fields.uint32(),
     };
     return { type: "response", stream, load, outcome: decodeOutcome(fields) };
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -56,8 +56,6 @@
 /** A target that fails part of its requests counts as slower: at a tenth, as 1.8 times as slow. */
 const FAILURE_WEIGHT = 8;
 const FAILURE_SMOOTHING = 0.04;
-/** What is left of the failure rate after a tick: a target that gets few requests is forgiven within seconds. */
-const FAILURE_FADING = 0.97;
 const METHODS_WITH_BODY: readonly string[] = ["POST", "PUT", "PATCH"];
 
 export class Runner {
@@ -107,7 +105,6 @@
             queued: this.queue.length,
             limit: this.limit,
             serviceMs: this.serviceMs * (1 + FAILURE_WEIGHT * this.failureRate),
-            failureShare: this.failureRate,
             configVersion,
         };
     }
@@ -180,7 +177,6 @@
     tick(now: number): void {
         const limit = Math.max(1, this.limit);
         this.cutoff.tick(this.queue.length / limit, this.options.entryLevel(this.target?.service ?? ""));
-        this.failureRate *= FAILURE_FADING;
         this.pool.closeStale(now);
         this.giveUpOverdue(now);
         this.tellSilent(now);
--- a/src/mesh/types.ts
+++ b/src/mesh/types.ts
@@ -145,7 +145,5 @@
     readonly limit: number;
     /** Smoothed time that the target takes for a request. */
     readonly serviceMs: number;
-    /** Smoothed share of the requests that the target has failed, 0 to 1. */
-    readonly failureShare: number;
     readonly configVersion: number;
 }
--- a/src/policy/balancer.ts
+++ b/src/policy/balancer.ts
@@ -4,7 +4,6 @@
  * refused. The better of two random ones is taken, so that many nodes with the same view do not all choose the same.
  */
 import type { LoadReport } from "../mesh/types.ts";
-import { ejectionShare, failureShareOf } from "./ejection.ts";
 
 /** What one node knows of the load of one target. */
 export interface Candidate {
@@ -98,11 +97,9 @@
 function usableIndexes(candidates: readonly Candidate[], now: number): readonly number[] {
     all.length = 0;
     sound.length = 0;
-    const ejectedFrom = ejectionShare(candidates, now);
     for (let index = 0; index < candidates.length; index++) {
-        const candidate = candidates[index]!;
         all.push(index);
-        if (candidate.avoidUntil <= now && failureShareOf(candidate, now) < ejectedFrom) sound.push(index);
+        if (candidates[index]!.avoidUntil <= now) sound.push(index);
     }
     return sound.length > 0 ? sound : all;
 }
--- a/src/policy/entryCutoff.ts
+++ b/src/policy/entryCutoff.ts
@@ -3,11 +3,9 @@
  * service taken as the mean of its targets. Targets tell their cut-offs as they change, so the entry follows within a
  * tick and a hop, however deep the chain is.
  */
-import { ejectionShare, failureShareOf } from "./ejection.ts";
-import type { FailureSource } from "./ejection.ts";
 import { MAX_LEVEL } from "./level.ts";
 
-export interface CutoffSource extends FailureSource {
+export interface CutoffSource {
     readonly isUsable: boolean;
     readonly cutoff: number;
 }
@@ -30,21 +28,19 @@
         let cached = this.cache.get(service);
         if (cached === undefined) this.cache.set(service, cached = { level: MAX_LEVEL, at: -Infinity });
         if (now - cached.at >= CACHE_MS) {
-            cached.level = meanCutoff(this.targetsOf(service), now);
+            cached.level = meanCutoff(this.targetsOf(service));
             cached.at = now;
         }
         return cached.level;
     }
 }
 
-/** Ejected targets have room that nobody uses, so they say nothing of the load. */
-function meanCutoff(targets: readonly CutoffSource[], now: number): number {
-    const ejectedFrom = ejectionShare(targets, now);
+function meanCutoff(targets: readonly CutoffSource[]): number {
     let sum = 0;
     let count = 0;
-    for (const target of targets) {
-        if (!target.isUsable || failureShareOf(target, now) >= ejectedFrom) continue;
-        sum += target.cutoff;
+    for (const { isUsable, cutoff } of targets) {
+        if (!isUsable) continue;
+        sum += cutoff;
         count++;
     }
     return count === 0 ? MAX_LEVEL : Math.round(sum / count);
--- a/test/mesh/frames.test.ts
+++ b/test/mesh/frames.test.ts
@@ -56,7 +56,6 @@
     queued: 2,
     limit: 24,
     serviceMs: 31.25,
-    failureShare: 0.2,
     configVersion: 12,
 };
 
--- a/test/mesh/policy.test.ts
+++ b/test/mesh/policy.test.ts
@@ -1,5 +1,9 @@
 /** Decisions of the data plane, without a network. */
 import { expect } from "chai";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { Candidate } from "../../src/policy/balancer.ts";
+import { chooseTarget } from "../../src/policy/balancer.ts";
 import { Cutoff } from "../../src/policy/cutoff.ts";
 import { EntryCutoffs } from "../../src/policy/entryCutoff.ts";
 import { BUCKETS, levelOf, MAX_LEVEL } from "../../src/policy/level.ts";
@@ -13,6 +17,25 @@
 import { PriorityQueue } from "../../src/policy/runQueue.ts";
 import { makeConfig, makeRoute } from "../support/meshFixtures.ts";
 
+function makeRandom(): () => number {
+    const generator = xoroshiro128plus(7);
+    return () => uniformInt(generator, 0, 0xffff) / 0x10000;
+}
+
+function makeCandidate(fields: Partial<Candidate> = {}): Candidate {
+    return {
+        isLocalHost: false,
+        isLocalDataCentre: false,
+        pending: 0,
+        pendingAtReport: 0,
+        slots: 20,
+        report: undefined,
+        reportedAt: 0,
+        avoidUntil: 0,
+        ...fields,
+    };
+}
+
 function makeAttempted(fields: Partial<Attempted> = {}): Attempted {
     return {
         outcome: { kind: "not-run", reason: "draining" },
@@ -26,6 +49,60 @@
     };
 }
 
+const report = { cutoff: MAX_LEVEL, running: 0, queued: 0, limit: 20, serviceMs: 40, configVersion: 1 };
+
+describe("choice of a target", () => {
+    it("keeps to the own data centre while it is not much slower", () => {
+        const candidates = [makeCandidate(), makeCandidate({ isLocalDataCentre: true, pending: 10 })];
+        for (let draw = 0; draw < 20; draw++) {
+            expect(chooseTarget(candidates, 0, () => draw / 20)).to.equal(1);
+        }
+    });
+
+    it("goes elsewhere before the own data centre is full", () => {
+        const nearlyFull = makeCandidate({ isLocalDataCentre: true, report: { ...report, running: 19 } });
+        const slower = makeCandidate({ report: { ...report, serviceMs: 60 } });
+        for (let draw = 0; draw < 20; draw++) {
+            expect(chooseTarget([nearlyFull, slower, slower], 0, () => draw / 20)).to.not.equal(-1);
+        }
+        const chosen = Array.from(
+            { length: 100 },
+            (_, draw) => chooseTarget([nearlyFull, slower], 0, () => draw / 100),
+        );
+        expect(chosen).to.include(1);
+    });
+
+    it("keeps filled targets from exchanging requests between data centres", () => {
+        const filled = { ...report, running: 20, queued: 4 };
+        const local = makeCandidate({ isLocalDataCentre: true, report: filled });
+        const remotes = [makeCandidate({ report: filled }), makeCandidate({ report: filled })];
+        const rand = makeRandom();
+        const chosen = Array.from({ length: 300 }, () => chooseTarget([local, ...remotes], 0, rand));
+        expect(chosen.filter(index => index === 0).length).to.equal(300);
+        const fuller = { ...local, report: { ...report, running: 20, queued: 20 } };
+        const spilled = Array.from({ length: 300 }, () => chooseTarget([fuller, ...remotes], 0, rand));
+        expect(spilled.filter(index => index !== 0).length).to.equal(300);
+    });
+
+    it("leaves the own data centre when its targets are full or slow", () => {
+        const full = makeCandidate({ isLocalDataCentre: true, pending: 40 });
+        const slow = makeCandidate({ isLocalDataCentre: true, report: { ...report, serviceMs: 400 } });
+        for (const local of [full, slow]) {
+            const remotes = [makeCandidate({ report }), makeCandidate({ report })];
+            for (let draw = 0; draw < 20; draw++) {
+                expect(chooseTarget([local, ...remotes], 0, () => draw / 20)).to.not.equal(0);
+            }
+        }
+    });
+
+    it("avoids a target that has just failed, unless there is no other", () => {
+        const failed = makeCandidate({ isLocalDataCentre: true, avoidUntil: 100 });
+        expect(chooseTarget([failed, makeCandidate()], 50, () => 0)).to.equal(1);
+        expect(chooseTarget([failed], 50, () => 0)).to.equal(0);
+        expect(chooseTarget([], 50, () => 0)).to.equal(-1);
+    });
+});
+
 describe("admission level", () => {
     it("orders by priority first", () => {
         for (const id of ["a", "b", "0123456789abcdef"]) {
@@ -89,12 +166,7 @@
 });
 
 describe("cut-off at the entry", () => {
-    const target = (cutoff: number, isUsable = true) => ({
-        cutoff,
-        isUsable,
-        report: undefined,
-        reportedAt: 0,
-    });
+    const target = (cutoff: number, isUsable = true) => ({ cutoff, isUsable });
 
     it("follows the service with the least room below a route", () => {
         const targets = new Map([
--- a/test/mesh/requestLog.test.ts
+++ b/test/mesh/requestLog.test.ts
@@ -47,15 +47,7 @@
     "leftMs",
 ];
 const RUN_FIELDS = ["id", "service", "level", "cutoff", "running", "queued", "limit", "waitedMs"];
-const LOAD = {
-    cutoff: 200,
-    running: 3,
-    queued: 1,
-    limit: 4,
-    serviceMs: 20,
-    failureShare: 0,
-    configVersion: 7,
-};
+const LOAD = { cutoff: 200, running: 3, queued: 1, limit: 4, serviceMs: 20, configVersion: 7 };
 
 type Line = Readonly<Record<string, unknown>>;
 
--- a/test/support/overloadModel.ts
+++ b/test/support/overloadModel.ts
@@ -57,8 +57,6 @@
 
 class ModelTarget {
     readonly isUsable = true;
-    readonly report = undefined;
-    readonly reportedAt = 0;
     readonly control = new Cutoff();
     readonly queue = new PriorityQueue<Job>();
     running = 0;
