--- a/src/commands/explain.ts
+++ b/src/commands/explain.ts
@@ -39,7 +39,7 @@
 }
 
 /** Shown at the head of a line, or told by its indentation. */
-const HIDDEN_FIELDS: readonly string[] = ["time", "node", "event", "id", "parent", "leftOut"];
+const HIDDEN_FIELDS: readonly string[] = ["time", "node", "event", "id", "parent", "severity", "leftOut"];
 
 function printPath(path: RequestPath, print: Print): void {
     print(`${path.id}: ${path.verdict}`);
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -1,6 +1,6 @@
 /** The path of a request, put together by `explain` from the logs of real nodes. */
 import { expect } from "chai";
-import { mkdtempSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { runExplain } from "../../src/commands/explain.ts";
@@ -134,4 +134,18 @@
         expect(await codeOf("a6", [join(folder, "none.log")])).to.equal("unreadable");
         expect(await codeOf("none", files)).to.equal("unknown-request");
     });
+
+    it("prints the examples of the operators' page from the logs of the day", async () => {
+        const page = readFileSync("docs/OPERATIONS.md", "utf8");
+        const examples = {
+            "abc1583066a2a190": "overload.log",
+            "36c970d8ea8a2bd7": "two-targets.log",
+            "500841c904540261": "restart.log",
+        };
+        for (const [id, file] of Object.entries(examples)) {
+            const printed: string[] = [];
+            await runExplain(id, [join("test/fixtures/logs", file)], line => printed.push(line));
+            expect(page, id).to.contain(printed.join("\n"));
+        }
+    });
 });
