--- a/src/mesh/frameSocket.ts
+++ b/src/mesh/frameSocket.ts
@@ -13,6 +13,8 @@
 
 export interface FrameSocketOptions {
     readonly socket: net.Socket;
+    /** Whether the other side has opened the connection. */
+    readonly isAccepted?: boolean;
     readonly rpcServer: JSONRPCServer;
     readonly onFrame: (frame: DataFrame) => void;
     readonly onClose: () => void;
@@ -24,8 +26,10 @@
 
 const PROBE_AFTER_MS = 300;
 const PROBE_TIMEOUT_MS = 700;
-/** An idle connection is probed this often, so that a request does not have to find out that it is dead. */
+/** An idle connection is probed this often by its opener, so that a request does not have to find out that it is dead. */
 const IDLE_PROBE_MS = 4000;
+/** The side that accepted a connection hears the opener's probes; it only has to notice in the end that it is gone. */
+const ACCEPTED_IDLE_PROBE_MS = 20_000;
 /** Unsent bytes from which a peer counts as not reading. */
 const MAX_UNSENT_BYTES = 32 * 1024 * 1024;
 const RPC_TIMEOUT_MS = 2000;
@@ -39,9 +43,11 @@
     private lastReadAt = steadyNow();
     private probedAt: number | undefined;
     private isClosed = false;
+    private readonly idleProbeMs: number;
 
     constructor(private readonly options: FrameSocketOptions) {
         const { socket } = options;
+        this.idleProbeMs = options.isAccepted === true ? ACCEPTED_IDLE_PROBE_MS : IDLE_PROBE_MS;
         this.socket = socket;
         const client = new JSONRPCClient(message => this.write(encodeRpc(JSON.stringify(message))));
         this.rpc = new JSONRPCServerAndClient(options.rpcServer, client);
@@ -71,9 +77,9 @@
         setImmediate(() => this.flush());
     }
 
-    /** Called every 100 ms. */
+    /** Called regularly; `isExpecting`: answers are due, so that silence means more. */
     tick(now: number, isExpecting: boolean): void {
-        const probeAfterMs = isExpecting ? PROBE_AFTER_MS : IDLE_PROBE_MS;
+        const probeAfterMs = isExpecting ? PROBE_AFTER_MS : this.idleProbeMs;
         if (this.probedAt === undefined) {
             if (now - this.lastReadAt < probeAfterMs) return;
             this.probedAt = now;
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -26,6 +26,7 @@
     constructor(socket: net.Socket, private readonly options: PeerServerOptions, onClose: () => void) {
         this.frames = new FrameSocket({
             socket,
+            isAccepted: true,
             rpcServer: options.rpcServer,
             onFrame: frame => this.onFrame(frame),
             version: options.configVersion,
--- /dev/null
+++ b/test/mesh/frameSocket.test.ts
@@ -0,0 +1,50 @@
+/** Probes on connections between nodes: a dead one is found, and an idle one costs little. */
+import { expect } from "chai";
+import { JSONRPCServer } from "json-rpc-2.0";
+import { once } from "node:events";
+import net from "node:net";
+import { steadyNow } from "../../src/mesh/clock.ts";
+import { FrameSocket } from "../../src/mesh/frameSocket.ts";
+
+const TICK_MS = 100;
+
+/** A connection whose other side reads and never answers; returns the bytes that ticks over a time have sent. */
+async function probesOver(ms: number, { isAccepted, isExpecting }: {
+    readonly isAccepted: boolean;
+    readonly isExpecting: boolean;
+}): Promise<{ readonly sentBytes: number; readonly isClosed: boolean; }> {
+    const server = net.createServer(socket => socket.resume());
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const socket = net.connect((server.address() as net.AddressInfo).port, "127.0.0.1");
+    await once(socket, "connect");
+    const frames = new FrameSocket({
+        socket,
+        isAccepted,
+        rpcServer: new JSONRPCServer(),
+        onFrame: () => undefined,
+        onClose: () => undefined,
+        version: () => 1,
+    });
+    const startedAt = steadyNow();
+    for (let passed = 0; passed <= ms; passed += TICK_MS) frames.tick(startedAt + passed, isExpecting);
+    await new Promise(resolve => setTimeout(resolve, 20));
+    const result = { sentBytes: socket.bytesWritten, isClosed: socket.destroyed };
+    socket.destroy();
+    server.close();
+    return result;
+}
+
+describe("probes between nodes", () => {
+    it("find a connection without answers within about a second while something is expected", async () => {
+        const { isClosed } = await probesOver(1300, { isAccepted: false, isExpecting: true });
+        expect(isClosed).to.equal(true);
+    });
+
+    it("of an idle connection come from its opener, not from both sides", async () => {
+        const opener = await probesOver(4200, { isAccepted: false, isExpecting: false });
+        expect(opener.sentBytes).to.be.greaterThan(0);
+        const accepted = await probesOver(19_000, { isAccepted: true, isExpecting: false });
+        expect(accepted).to.deep.equal({ sentBytes: 0, isClosed: false });
+    });
+});
