--- a/src/requestPath.ts
+++ b/src/requestPath.ts
@@ -1,7 +1,7 @@
 /**
- * The path of one request through the nodes, put together from their log files. Lines of a request and of the calls
- * that its runs made are ordered by time; the lines that the nodes do not share a clock for are ordered within a node
- * only, so times between nodes are shown as they were written.
+ * The path of one request through the nodes, put together from their log files: its lines and those of the calls that
+ * its runs made. They are ordered by the times of the nodes' own clocks, so lines of different nodes are in order only
+ * as far as their clocks agree.
  */
 import * as v from "valibot";
 
@@ -10,6 +10,8 @@
     node: v.string(),
     event: v.string(),
     id: v.optional(v.string()),
+    /** The request whose run made this call. */
+    parent: v.optional(v.string()),
     last: v.optional(v.string()),
     leftOut: v.optional(v.number()),
 }, v.union([v.string(), v.number(), v.boolean()]));
@@ -44,14 +46,31 @@
 
 /** Lines of all nodes in, the path of one request out. */
 export function traceRequest(id: string, all: readonly LogLine[]): RequestPath {
-    const lines = all.filter(line => line.id === id || line.id?.startsWith(`${id}.`) === true)
+    const ids = idsBelow(id, all);
+    const lines = all.filter(line => line.id !== undefined && ids.has(line.id))
         .sort((one, other) => one.time - other.time);
     const own = lines.filter(line => line.id === id);
     const ending = own.findLast(line => isEnding(line));
     return { id, lines, verdict: verdictOf(own, ending), gaps: gapsOf(id, own, ending, all) };
 }
 
-/** Calls below the request: how often a dot follows its id. */
+/**
+ * The ids of a request and of all calls below it. Ids of calls begin with that of their parent, and lines of their entry
+ * name the parent; either is enough.
+ */
+function idsBelow(id: string, all: readonly LogLine[]): ReadonlySet<string> {
+    const ids = new Set([id]);
+    for (let known = 0; known < ids.size;) {
+        known = ids.size;
+        for (const { id: lineId, parent } of all) {
+            if (lineId === undefined) continue;
+            if (lineId.startsWith(`${id}.`) || (parent !== undefined && ids.has(parent))) ids.add(lineId);
+        }
+    }
+    return ids;
+}
+
+/** Depth of a call below the request: each level of calls adds a dot and a part to the id. */
 export function depthOf(line: LogLine, id: string): number {
     return (line.id ?? "").slice(id.length).split(".").length - 1;
 }
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -92,6 +92,22 @@
         expect(below.find(({ event }) => event === "answered")).to.include({ parent: "a4" });
     });
 
+    it("finds calls by their parent where their ids say nothing", () => {
+        const line = (fields: Partial<LogLine>): LogLine => ({
+            time: 1,
+            node: "n",
+            event: "answered",
+            ...fields,
+        });
+        const lines = [
+            line({ id: "x2", parent: "x1" }),
+            line({ id: "x1", parent: "root" }),
+            line({ id: "root" }),
+        ];
+        const path = traceRequest("root", [...lines, line({ id: "other" })]);
+        expect(path.lines.map(({ id }) => id)).to.have.members(["root", "x1", "x2"]);
+    });
+
     it("says what is missing", async () => {
         await startShop();
         const [edge, ...shops] = mesh.hosts;
