--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -62,6 +62,9 @@
     }
 }
 
+/** Where a record comes from. */
+export type RecordSource = "itself" | "store" | "others";
+
 export interface DirectoryOptions {
     readonly name: string;
     readonly dataCentre: string;
@@ -93,17 +96,18 @@
     }
 
     /**
-     * Takes a record; returns whether it changed what is known. A record from the node itself or from the store
-     * (`isFirstHand`) also replaces one with a later start if that node is not connected: clocks may step back
-     * between two starts.
+     * Takes a record; returns whether it changed what is known. A record from the node itself or from the store also
+     * replaces one with a later start if that node is not connected: clocks may step back between two starts.
      */
-    learn(record: NodeRecord, { isFirstHand = false } = {}): boolean {
+    learn(record: NodeRecord, source: RecordSource = "others"): boolean {
+        if (!this.takeAddress(record, source)) return false;
         const known = this.nodes.get(record.name);
         if (known === undefined) {
             this.add(record);
             return true;
         }
-        const isRestart = isFirstHand && !known.isLinked && record.startedAt !== known.record.startedAt;
+        const isRestart = source !== "others" && !known.isLinked
+            && record.startedAt !== known.record.startedAt;
         if (!isRestart && !isNewer(record, known.record)) return false;
         if (record.address !== known.record.address) {
             this.remove(record.name);
@@ -128,6 +132,20 @@
         this.options.onRemoved(known);
     }
 
+    /**
+     * One node lives at an address. The node that speaks from there displaces an earlier one; a record from elsewhere
+     * does so only if it is newer and nobody is connected there. Returns whether the record may be taken.
+     */
+    private takeAddress(record: NodeRecord, source: RecordSource): boolean {
+        for (const other of this.nodes.values()) {
+            const { name, address, startedAt } = other.record;
+            if (address !== record.address || name === record.name) continue;
+            if (source !== "itself" && (other.isLinked || startedAt > record.startedAt)) return false;
+            this.remove(name);
+        }
+        return true;
+    }
+
     private add(record: NodeRecord): void {
         const isSelf = record.name === this.options.name;
         const node = new KnownNode(record, isSelf, record.dataCentre === this.options.dataCentre);
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -228,7 +228,7 @@
 
     private countSend(call: Call, outcome: Outcome): void {
         const wasSeen = outcome.kind !== "not-run" || outcome.reason === "target-shed"
-            || outcome.reason === "wrong-service";
+            || outcome.reason === "wrong-instance";
         if (wasSeen) call.sends++;
         else call.redirects++;
         if (outcome.kind !== "not-run") call.mayHaveRun = true;
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -67,6 +67,7 @@
     "crashes-targets",
     "memory",
     "deadline",
+    "wrong-instance",
 ];
 const FAILURES: readonly FailureReason[] = [
     "link-lost",
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -7,7 +7,7 @@
 import type { RouteUse, RouteUses } from "../policy/routeUses.ts";
 import { steadyNow } from "./clock.ts";
 import { Directory, safeParseNodeRecord } from "./directory.ts";
-import type { KnownNode } from "./directory.ts";
+import type { KnownNode, RecordSource } from "./directory.ts";
 import type { EventLog } from "./eventLog.ts";
 import type { FrameSocket } from "./frameSocket.ts";
 import { PeerLink } from "./peerLink.ts";
@@ -100,7 +100,7 @@
     /** A record as it lies in the store; `undefined` when it was removed. */
     onStored(name: string, input: unknown): void {
         if (input !== undefined) {
-            this.learn(input, { isFirstHand: true });
+            this.learn(input, "store");
             return;
         }
         const node = this.directory.get(name);
@@ -149,18 +149,18 @@
     private onUpdate(params: unknown): void {
         if (typeof params !== "object" || params === null) return;
         const { record, configVersion } = params as Readonly<Record<string, unknown>>;
-        const node = this.learn(record, { isFirstHand: true });
+        const node = this.learn(record, "itself");
         if (node !== undefined && typeof configVersion === "number") this.onVersion(node, configVersion);
     }
 
-    private learn(input: unknown, { isFirstHand = false } = {}): KnownNode | undefined {
+    private learn(input: unknown, source: RecordSource = "others"): KnownNode | undefined {
         const record = safeParseNodeRecord(input);
         if (record === undefined) {
             this.options.log.event("node-unreadable", {});
             return undefined;
         }
         if (record.name === this.options.name) return undefined;
-        const hasChanged = this.directory.learn(record, { isFirstHand });
+        const hasChanged = this.directory.learn(record, source);
         const node = this.directory.get(record.name);
         if (hasChanged && node !== undefined) this.onChanged(node);
         return node;
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -366,7 +366,7 @@
 function outcomeOf(reply: Exclude<Reply, { kind: "unreachable"; }>, isIdempotent: boolean): Outcome {
     if (reply.kind === "lost") return { kind: "unknown", reason: reply.reason };
     const { head, body } = reply;
-    if (head.status === 421) return { kind: "not-run", reason: "wrong-service" };
+    if (head.status === 421) return { kind: "not-run", reason: "wrong-instance" };
     if (head.notExecuted) return { kind: "not-run", reason: "target-shed" };
     if (head.status < 300 && head.seal === undefined) return { kind: "unknown", reason: "bad-answer" };
     const claimsNotRun = head.status === 429 || head.status === 503 || head.status === 408;
--- a/src/mesh/types.ts
+++ b/src/mesh/types.ts
@@ -75,6 +75,7 @@
     | "draining"
     | "target-down"
     | "wrong-service"
+    | "wrong-instance"
     | "overload"
     | "failing-below"
     | "queue-timeout"
--- a/src/policy/retryAfter.ts
+++ b/src/policy/retryAfter.ts
@@ -30,6 +30,7 @@
         case "draining":
         case "target-down":
         case "wrong-service":
+        case "wrong-instance":
         case "link-down":
         case "stopping":
         case "deadline":
--- a/src/policy/retryDecision.ts
+++ b/src/policy/retryDecision.ts
@@ -33,7 +33,7 @@
         case "not-run":
             return afterNotRun(
                 attempted,
-                outcome.reason === "target-shed" || outcome.reason === "wrong-service",
+                outcome.reason === "target-shed" || outcome.reason === "wrong-instance",
             );
         case "unknown":
             return outcome.reason === "timeout" ? { kind: "stop" } : afterRun(attempted);
--- a/test/mesh/requestLog.test.ts
+++ b/test/mesh/requestLog.test.ts
@@ -17,6 +17,7 @@
     "draining": true,
     "target-down": true,
     "wrong-service": true,
+    "wrong-instance": true,
     "overload": true,
     "failing-below": true,
     "queue-timeout": true,
