--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -85,6 +85,7 @@
     private stoppingSince: number | undefined;
     private stopped: Promise<void> | undefined;
     private isRefusingRuns = false;
+    private endRunsTimer: NodeJS.Timeout | undefined;
     private ticks = 0;
     private tickTimer: NodeJS.Timeout | undefined;
     private earlierTarget: TargetRecord | undefined;
@@ -141,7 +142,7 @@
             ...options.peer,
             runner: this.runner,
             configVersion: () => this.configVersion,
-            isStopping: () => this.isRefusingRuns,
+            isRefusingRuns: () => this.isRefusingRuns,
             rpcServer: this.peers.rpcServer,
             onUp: frames => this.peers.greet(frames),
         });
@@ -203,7 +204,7 @@
             active: this.forwarder.activeCount,
             runs: this.runner.activeCount,
         });
-        setTimeout(() => this.endRuns(), this.options.graceMs * STOP_RUN_SHARE);
+        this.endRunsTimer = setTimeout(() => this.endRuns(), this.options.graceMs * STOP_RUN_SHARE);
         // A node whose target lives on comes back at the same place; its record stays.
         if (this.register.record === undefined || this.register.record.state === "gone") {
             this.options.store.publish(this.options.name, undefined);
@@ -238,6 +239,7 @@
     /** Ends at once: connections are closed, whatever is in progress. */
     close(): void {
         if (this.tickTimer !== undefined) clearInterval(this.tickTimer);
+        clearTimeout(this.endRunsTimer);
         this.clients.close();
         this.options.store.stop();
         this.runner.close();
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -12,8 +12,8 @@
     readonly port: number;
     readonly runner: Runner;
     readonly configVersion: () => number;
-    /** A reason to run nothing at present. */
-    readonly isStopping: () => boolean;
+    /** Whether the node stops and runs nothing more for others. */
+    readonly isRefusingRuns: () => boolean;
     /** Makes the JSON-RPC server of a connection; `frames` is there to answer on. */
     readonly rpcServer: JSONRPCServer;
     readonly onUp: (frames: FrameSocket) => void;
@@ -60,7 +60,7 @@
             const { runner, configVersion } = this.options;
             this.frames.write(encodeResponse(stream, outcome, runner.load(configVersion())));
         };
-        if (this.options.isStopping()) {
+        if (this.options.isRefusingRuns()) {
             reply({ kind: "not-run", reason: "stopping" });
             return;
         }
