--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -1,6 +1,6 @@
 /** The adapter's boundary: settings, configuration and seals, with clear errors for what is not valid. */
 import { expect } from "chai";
-import { parseDuration, parseSettings, SettingsError } from "../../platform/settings.ts";
+import { parseDuration, parseSettings, parseTracedIds, SettingsError } from "../../platform/settings.ts";
 import { decodeConfig } from "../../platform/wireConfig.ts";
 import { isSealedLength } from "../../platform/wireHeaders.ts";
 import { wireConfig, wireRoute } from "../support/platformMesh.ts";
@@ -49,6 +49,15 @@
         });
     });
 
+    it("reads the beginnings of traced request ids, and refuses what can be none", () => {
+        expect(parseTracedIds("", "V")).to.deep.equal([]);
+        expect(parseTracedIds("9c41, a-b.1", "V")).to.deep.equal(["9c41", "a-b.1"]);
+        expect(() => parseTracedIds("9c41,two words", "V")).to.throw(
+            SettingsError,
+            /^V: "two words" is not the beginning/,
+        );
+    });
+
     it("names the field of a setting that is missing or wrong", () => {
         expect(faultOf(SETTINGS.replace("app_addr", "app"))).to.contain("s.toml: app_addr");
         expect(faultOf(SETTINGS.replace("10.1.0.8:8304", "nowhere"))).to.contain(
