--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -8,7 +8,7 @@
 import { EntryCutoffs } from "../policy/entryCutoff.ts";
 import { levelOf, MAX_LEVEL } from "../policy/level.ts";
 import type { RetryBudget } from "../policy/retryBudget.ts";
-import { decideRetry, repeatCharges } from "../policy/retryDecision.ts";
+import { decideRetry, maySendBeside, repeatCharges, wasSeenByTarget } from "../policy/retryDecision.ts";
 import { RouteBreaker } from "../policy/routeBreaker.ts";
 import { findRoute, SplitChooser } from "../policy/routeTable.ts";
 import type { RouteUse, RouteUses } from "../policy/routeUses.ts";
@@ -47,8 +47,6 @@
 const MAX_ID_BYTES = 255;
 const TARGET_WAIT_STEP_MS = 25;
 const TIMER_GRAIN_MS = 4;
-/** Less time than this is not worth a second send beside the first. */
-const MIN_REPEAT_LEFT_MS = 25;
 
 export class Forwarder {
     private readonly splits = new SplitChooser();
@@ -202,9 +200,10 @@
     private onSilent(call: Call): void {
         const now = steadyNow();
         const { route } = call;
-        const isAllowed = route.isIdempotent && call.cancelEarlier === undefined
-            && call.sends + 1 < route.maxAttempts && call.endsAt - now > MIN_REPEAT_LEFT_MS;
-        if (!isAllowed) return;
+        const { isIdempotent, maxAttempts } = route;
+        const leftMs = call.endsAt - now;
+        if (call.cancelEarlier !== undefined) return;
+        if (!maySendBeside({ isIdempotent, maxAttempts, sends: call.sends, leftMs })) return;
         if (!this.dispatcher.hasOther(call) || !this.takeRepeat(call, true, now)) {
             this.log.notRepeated(call, "target-silent");
             return;
@@ -227,9 +226,7 @@
     }
 
     private countSend(call: Call, outcome: Outcome): void {
-        const wasSeen = outcome.kind !== "not-run" || outcome.reason === "target-shed"
-            || outcome.reason === "wrong-instance";
-        if (wasSeen) call.sends++;
+        if (wasSeenByTarget(outcome)) call.sends++;
         else call.redirects++;
         if (outcome.kind !== "not-run") call.mayHaveRun = true;
     }
--- a/src/mesh/frameSocket.ts
+++ b/src/mesh/frameSocket.ts
@@ -30,8 +30,6 @@
 const IDLE_PROBE_MS = 4000;
 /** The side that accepted a connection hears the opener's probes; it only has to notice in the end that it is gone. */
 const ACCEPTED_IDLE_PROBE_MS = 20_000;
-/** Unsent bytes from which a peer counts as not reading. */
-const MAX_UNSENT_BYTES = 32 * 1024 * 1024;
 const RPC_TIMEOUT_MS = 2000;
 
 export class FrameSocket {
@@ -57,10 +55,6 @@
         socket.on("close", () => this.onClose());
     }
 
-    get isWritable(): boolean {
-        return !this.isClosed && this.socket.writableLength < MAX_UNSENT_BYTES;
-    }
-
     notify(method: string, params: unknown): void {
         if (!this.isClosed) this.rpc.notify(method, params);
     }
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -92,10 +92,6 @@
         });
     }
 
-    notifyAll(method: string, params: unknown): void {
-        for (const conn of this.connections) conn.frames.notify(method, params);
-    }
-
     /** Tells all connected nodes the cut-off of the target here. */
     tellCutoff(cutoff: number): void {
         for (const conn of this.connections) conn.frames.write(encodeSignal("cutoff", cutoff));
--- a/src/policy/retryDecision.ts
+++ b/src/policy/retryDecision.ts
@@ -26,15 +26,29 @@
 /** Less time than this is not worth another send. */
 const MIN_LEFT_MS = 25;
 
+/** Whether an outcome comes from the target, so that the send counts as a repeat of the first. */
+export function wasSeenByTarget(outcome: Outcome): boolean {
+    return outcome.kind !== "not-run" || outcome.reason === "target-shed"
+        || outcome.reason === "wrong-instance";
+}
+
+/** Whether a request at a silent target may be sent to another one beside it. */
+export function maySendBeside(
+    { isIdempotent, sends, maxAttempts, leftMs }: Pick<
+        Attempted,
+        "isIdempotent" | "sends" | "maxAttempts" | "leftMs"
+    >,
+): boolean {
+    // The send in progress will count too.
+    return isIdempotent && sends + 1 < maxAttempts && leftMs > MIN_LEFT_MS;
+}
+
 export function decideRetry(attempted: Attempted): RetryDecision {
     const { outcome, leftMs } = attempted;
     if (leftMs < MIN_LEFT_MS) return { kind: "stop" };
     switch (outcome.kind) {
         case "not-run":
-            return afterNotRun(
-                attempted,
-                outcome.reason === "target-shed" || outcome.reason === "wrong-instance",
-            );
+            return afterNotRun(attempted, wasSeenByTarget(outcome));
         case "unknown":
             return outcome.reason === "timeout" ? { kind: "stop" } : afterRun(attempted);
         case "answer":
--- a/src/policy/runQueue.ts
+++ b/src/policy/runQueue.ts
@@ -45,18 +45,6 @@
         return undefined;
     }
 
-    /** Takes out the least important request that waits, if it is less important than `level`. */
-    evictBelow(level: number): T | undefined {
-        for (let index = CLASSES - 1; index > classOf(level); index--) {
-            const item = this.classes[index]!.pop();
-            if (item !== undefined) {
-                this.count--;
-                return item;
-            }
-        }
-        return undefined;
-    }
-
     remove(item: T): boolean {
         const items = this.classes[classOf(item.level)]!;
         const index = items.indexOf(item);
--- a/test/support/platformMesh.ts
+++ b/test/support/platformMesh.ts
@@ -148,7 +148,6 @@
             nodeName: name,
             dataCentre,
             service,
-            hostAddress: "127.0.0.1",
             target: await listener(),
             outbound: await listener(),
             readiness: await listener(),
