Tell each second what targets and clients' requests did

The log had lines for refusals only, limited to 20 a second, so neither the use of slots nor the share of refusals by second could be read from it. Each node now writes one line a second with the state of its target, the time that runs used its slots, and what became of clients' requests.

--- a/src/mesh/counters.ts
+++ b/src/mesh/counters.ts
@@ -7,6 +7,16 @@
     readonly failures = new Map<string, number>();
     readonly repeats = new Map<string, number>();
     readonly runRefusals = new Map<string, number>();
+    /** Requests of clients, without the calls of targets. */
+    clientRequests = 0;
+    clientRefusals = 0;
+    /** Answers to clients with a status below 500. */
+    clientServed = 0;
+    runsStarted = 0;
+    /** Time that started runs have waited for a slot, ms. */
+    runsWaitedMs = 0;
+    /** Time that ended runs have used a slot, ms. */
+    slotMs = 0;
 
     countRequest(route: string): void {
         add(this.requests, route);
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -135,6 +135,7 @@
         this.active++;
         this.learnUse(call);
         if (call.parent === undefined) {
+            this.options.counters.clientRequests++;
             if (this.options.isEnding()) {
                 this.refuse(call, "stopping");
                 return false;
@@ -300,6 +301,7 @@
     private refuse(call: Call, reason: RefusalReason, cutoff?: number): void {
         const leftMs = Math.max(0, call.endsAt - steadyNow());
         this.options.counters.countRefused(reason);
+        if (call.parent === undefined) this.options.counters.clientRefusals++;
         this.log.refused(call, reason, cutoff);
         this.options.latencies.record("refused", steadyNow() - call.startedAt);
         this.finish(call, refusalAnswer(reason, leftMs, this.rand));
@@ -332,6 +334,7 @@
     }
 
     private finish(call: Call, answer: HttpAnswer): void {
+        if (call.parent === undefined && answer.status < 500) this.options.counters.clientServed++;
         this.close(call);
         call.reply(answer);
     }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -15,6 +15,7 @@
 import type { EventLog } from "./eventLog.ts";
 import { Forwarder } from "./forwarder.ts";
 import { LatencySamples } from "./latencySamples.ts";
+import { LoadLog } from "./loadLog.ts";
 import { Peers } from "./peers.ts";
 import { PeerServer } from "./peerServer.ts";
 import type { TargetProtocol } from "./protocol.ts";
@@ -89,6 +90,7 @@
     private ticks = 0;
     private tickTimer: NodeJS.Timeout | undefined;
     private earlierTarget: TargetRecord | undefined;
+    private readonly loadLog: LoadLog;
     /** What the store has of this node. */
     private stored: NodeRecord | undefined;
 
@@ -104,6 +106,11 @@
             protocol: options.protocol,
             entryLevel: service => this.forwarder.entryLevel(service),
         });
+        this.loadLog = new LoadLog({
+            log: options.log,
+            counters: this.counters,
+            load: () => this.runner.load(this.configVersion),
+        });
         this.peers = new Peers({
             name: options.name,
             dataCentre: options.dataCentre,
@@ -253,6 +260,7 @@
         this.tellCutoff();
         this.peers.tick(now);
         if (++this.ticks % TICKS_PER_SECOND !== 0) return;
+        this.loadLog.write(now, this.register.record);
         this.peerServer.tick(now);
         this.clients.checkTimeouts(now);
     }
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -255,6 +255,8 @@
         if (this.inUse === 0) this.lastProgressAt = now;
         this.inUse++;
         this.cutoff.noteStart(now - run.arrivedAt);
+        this.counters.runsStarted++;
+        this.counters.runsWaitedMs += now - run.arrivedAt;
         run.startedAt = now;
         this.options.latencies.record("queue", now - run.arrivedAt);
         this.log.started(run, now);
@@ -320,6 +322,7 @@
         if (run.isDone) return;
         run.isDone = true;
         this.inUse--;
+        this.counters.slotMs += steadyNow() - run.startedAt;
         if (this.running.get(run.req.requestId) === run) this.running.delete(run.req.requestId);
         if (this.queue.length > 0) this.startQueued();
     }
--- a/test/mesh/requestLog.test.ts
+++ b/test/mesh/requestLog.test.ts
@@ -5,7 +5,9 @@
 import { expect } from "chai";
 import { spawn } from "node:child_process";
 import { CallLog } from "../../src/mesh/callLog.ts";
+import { Counters } from "../../src/mesh/counters.ts";
 import { EventLog } from "../../src/mesh/eventLog.ts";
+import { LoadLog } from "../../src/mesh/loadLog.ts";
 import { RunLog } from "../../src/mesh/runLog.ts";
 import { createTraceFilter } from "../../src/mesh/traceFilter.ts";
 import type { FailureReason, RefusalReason } from "../../src/mesh/types.ts";
@@ -128,6 +130,39 @@
         }
     });
 
+    it("tells each second what the target did, and what became of clients' requests", () => {
+        const { log, lines } = record();
+        const counters = new Counters();
+        const loadLog = new LoadLog({ log, counters, load: () => LOAD });
+        const target = { id: "i-1", service: "s", state: "ready", slots: 4, bornAt: 1 } as const;
+        loadLog.write(0, target);
+        counters.clientRequests = 7;
+        counters.clientRefusals = 2;
+        counters.clientServed = 4;
+        counters.runsStarted = 10;
+        counters.runsWaitedMs = 55;
+        counters.slotMs = 900;
+        loadLog.write(1000, target);
+        loadLog.write(2000, target);
+        const [busy, idle] = lines();
+        expect(busy).to.include({
+            event: "load",
+            service: "s",
+            target: "i-1",
+            cutoff: 200,
+            limit: 4,
+            serviceMs: 20,
+            started: 10,
+            meanWaitMs: 6,
+            slotMs: 900,
+            requests: 7,
+            refused: 2,
+            served: 4,
+            overMs: 1000,
+        });
+        expect(idle).to.include({ started: 0, meanWaitMs: 0, slotMs: 0, requests: 0, refused: 0, served: 0 });
+    });
+
     it("draws about one request in 128, and its calls with it", () => {
         const isTraced = createTraceFilter();
         const ids = Array.from(
