--- a/test/mesh/overload.test.ts
+++ b/test/mesh/overload.test.ts
@@ -13,9 +13,17 @@
     { name: "lookup", priority: 2, perSecond: 700, calls: 4, objectiveMs: 1200, deadlineMs: 5000 },
 ];
 
-function play(factor: number, seed: number): ReadonlyMap<string, ClassResult> {
+function play(factor: number, seed: number, isReturning = false): ReadonlyMap<string, ClassResult> {
     const classes = CLASSES.map(kind => ({ ...kind, perSecond: kind.perSecond * factor }));
-    return playModel({ classes, targets: TARGETS, slots: SLOTS, workMs: WORK_MS, seconds: 20, seed });
+    return playModel({
+        classes,
+        targets: TARGETS,
+        slots: SLOTS,
+        workMs: WORK_MS,
+        seconds: 20,
+        seed,
+        isReturning,
+    });
 }
 
 const share = ({ inTime, asked }: ClassResult) => inTime / asked;
@@ -37,6 +45,14 @@
         });
     }
 
+    for (const seed of [1, 2, 3]) {
+        it(`answers those that come back after a refusal within their latency objective, seed ${seed}`, () => {
+            const { returnedInTime, returnedLate } = play(1.3, seed, true).get("lookup")!;
+            expect(returnedInTime + returnedLate).to.be.greaterThan(500);
+            expect(returnedInTime / (returnedInTime + returnedLate)).to.be.greaterThan(0.9);
+        });
+    }
+
     it("refuses nobody while the capacity suffices", () => {
         const results = play(0.7, 1);
         for (const [name, { refused, asked }] of results) expect(refused / asked, name).to.be.lessThan(0.01);
--- a/test/support/overloadModel.ts
+++ b/test/support/overloadModel.ts
@@ -8,6 +8,7 @@
 import { Cutoff } from "../../src/policy/cutoff.ts";
 import { EntryCutoffs } from "../../src/policy/entryCutoff.ts";
 import { levelOf } from "../../src/policy/level.ts";
+import { retryAfterMs } from "../../src/policy/retryAfter.ts";
 import { PriorityQueue } from "../../src/policy/runQueue.ts";
 
 export interface ModelClass {
@@ -27,6 +28,8 @@
     readonly workMs: number;
     readonly seconds: number;
     readonly seed: number;
+    /** Whether a caller that was refused comes back once, when it was told to. */
+    readonly isReturning?: boolean;
 }
 
 export interface ClassResult {
@@ -35,12 +38,17 @@
     late: number;
     refused: number;
     failed: number;
+    /** Of those served, the ones that were refused at first. */
+    returnedInTime: number;
+    returnedLate: number;
 }
 
 interface Request {
     readonly kind: ModelClass;
     readonly level: number;
+    /** Time of the caller's first try. */
     readonly startedAt: number;
+    readonly isReturned: boolean;
     callsLeft: number;
 }
 
@@ -87,7 +95,15 @@
 
     play(): ReadonlyMap<string, ClassResult> {
         for (const kind of this.options.classes) {
-            this.results.set(kind.name, { asked: 0, inTime: 0, late: 0, refused: 0, failed: 0 });
+            this.results.set(kind.name, {
+                asked: 0,
+                inTime: 0,
+                late: 0,
+                refused: 0,
+                failed: 0,
+                returnedInTime: 0,
+                returnedLate: 0,
+            });
             this.at(this.gap(kind.perSecond), () => this.arrive(kind));
         }
         this.at(TICK_MS, () => this.tick());
@@ -117,17 +133,30 @@
     private arrive(kind: ModelClass): void {
         if (this.isOver) return;
         this.at(this.gap(kind.perSecond), () => this.arrive(kind));
-        const result = this.results.get(kind.name)!;
-        result.asked++;
+        this.results.get(kind.name)!.asked++;
+        this.enter(kind, this.now, false);
+    }
+
+    private enter(kind: ModelClass, startedAt: number, isReturned: boolean): void {
         const level = levelOf(kind.priority, `${++this.ids}`);
         if (level > this.entry.cutoffOf("bottleneck", this.now)) {
-            result.refused++;
+            this.refuse(kind, startedAt, isReturned);
             return;
         }
-        const request = { kind, level, startedAt: this.now, callsLeft: kind.calls };
+        const request = { kind, level, startedAt, isReturned, callsLeft: kind.calls };
         this.at(CHAIN_MS, () => this.call(request));
     }
 
+    private refuse(kind: ModelClass, startedAt: number, isReturned: boolean): void {
+        if (isReturned || this.options.isReturning !== true) {
+            this.results.get(kind.name)!.refused++;
+            return;
+        }
+        const leftMs = startedAt + kind.deadlineMs - this.now;
+        const waitMs = retryAfterMs("overload", leftMs, () => this.uniform());
+        this.at(waitMs, () => this.enter(kind, startedAt, true));
+    }
+
     private call(request: Request): void {
         const target = this.targets[Math.floor(this.uniform() * 0.999_999 * this.targets.length)]!;
         const leftMs = request.startedAt + request.kind.deadlineMs - this.now;
@@ -169,8 +198,14 @@
         }
         const result = this.results.get(request.kind.name)!;
         const tookMs = this.now - request.startedAt;
-        if (tookMs <= request.kind.objectiveMs) result.inTime++;
-        else if (tookMs <= request.kind.deadlineMs) result.late++;
+        if (tookMs <= request.kind.objectiveMs) {
+            result.inTime++;
+            if (request.isReturned) result.returnedInTime++;
+        }
+        else if (tookMs <= request.kind.deadlineMs) {
+            result.late++;
+            if (request.isReturned) result.returnedLate++;
+        }
         else result.failed++;
     }
 
