Let refused callers return within their latency objective

Callers refused under overload were told to come back after 0.6 to 1.5 s, the latency objective of most routes, so nearly all of those that were then served came late.

The wait now is at most half of what is left of the route's latency objective after the mean time of an answer, which the entry learns by route. Callers that can only be answered late keep the long wait.

--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -7,9 +7,11 @@
 import type { Message } from "../http/messageReader.ts";
 import { EntryCutoffs } from "../policy/entryCutoff.ts";
 import { levelOf, MAX_LEVEL } from "../policy/level.ts";
+import type { CallerPatience } from "../policy/retryAfter.ts";
 import type { RetryBudget } from "../policy/retryBudget.ts";
 import { decideRetry, maySendBeside, repeatCharges, wasSeenByTarget } from "../policy/retryDecision.ts";
 import { RouteBreaker } from "../policy/routeBreaker.ts";
+import { RouteLatencies } from "../policy/routeLatency.ts";
 import { findRoute, SplitChooser } from "../policy/routeTable.ts";
 import type { RouteUse, RouteUses } from "../policy/routeUses.ts";
 import { plainAnswer, refusalAnswer } from "./answers.ts";
@@ -52,6 +54,7 @@
     private readonly splits = new SplitChooser();
     private readonly cutoffs: EntryCutoffs;
     private readonly breaker = new RouteBreaker();
+    private readonly routeLatencies = new RouteLatencies();
     private readonly log: CallLog;
     private readonly dispatcher: Dispatcher;
     private readonly rand: () => number;
@@ -81,7 +84,7 @@
     handle(req: Message<RequestHead>, reply: Reply): (() => void) | undefined {
         const cfg = this.options.config();
         if (cfg === undefined) {
-            reply(refusalAnswer("no-config", DEFAULT_DEADLINE_MS, this.rand));
+            reply(refusalAnswer("no-config", { leftMs: DEFAULT_DEADLINE_MS, slackMs: 0 }, this.rand));
             return undefined;
         }
         const { head } = req;
@@ -277,9 +280,7 @@
     private end(call: Call, outcome: Outcome): void {
         switch (outcome.kind) {
             case "answer":
-                if (call.parent === undefined) {
-                    this.breaker.note(call.route.name, outcome.status >= 500, steadyNow());
-                }
+                if (call.parent === undefined) this.noteClientAnswer(call, outcome.status);
                 this.log.answered(call, outcome.status);
                 this.options.latencies.record("answered", steadyNow() - call.startedAt);
                 this.finish(call, outcome);
@@ -292,6 +293,12 @@
         }
     }
 
+    private noteClientAnswer({ route, startedAt }: Call, status: number): void {
+        const now = steadyNow();
+        this.breaker.note(route.name, status >= 500, now);
+        if (status < 500) this.routeLatencies.note(route.name, now - startedAt);
+    }
+
     /** Ends a call whose last send did not run; an earlier one may have. */
     private endWithout(call: Call, reason: RefusalReason): void {
         if (call.mayHaveRun) this.fail(call, "connection-lost");
@@ -299,12 +306,18 @@
     }
 
     private refuse(call: Call, reason: RefusalReason, cutoff?: number): void {
-        const leftMs = Math.max(0, call.endsAt - steadyNow());
         this.options.counters.countRefused(reason);
         if (call.parent === undefined) this.options.counters.clientRefusals++;
         this.log.refused(call, reason, cutoff);
         this.options.latencies.record("refused", steadyNow() - call.startedAt);
-        this.finish(call, refusalAnswer(reason, leftMs, this.rand));
+        this.finish(call, refusalAnswer(reason, this.patienceOf(call), this.rand));
+    }
+
+    private patienceOf({ route, startedAt, endsAt }: Call): CallerPatience {
+        const now = steadyNow();
+        const slackMs = route.latencyObjectiveMs - (now - startedAt)
+            - this.routeLatencies.meanMs(route.name);
+        return { leftMs: Math.max(0, endsAt - now), slackMs };
     }
 
     private fail(call: Call, reason: FailureReason): void {
--- a/src/policy/retryAfter.ts
+++ b/src/policy/retryAfter.ts
@@ -1,18 +1,34 @@
 /**
- * When a caller that was refused may come back. Refusals under overload are spread over a part of the time that the
- * caller has, so that the refused do not return together; other refusals end soon.
+ * When a caller that was refused may come back. Under overload it returns while it can still be answered within the
+ * latency objective of its route; refusals are spread over that time, so that the refused do not return together.
+ * Other refusals end soon.
  */
 import type { RefusalReason } from "../mesh/types.ts";
 
+export interface CallerPatience {
+    /** Time until the caller's deadline, ms. */
+    readonly leftMs: number;
+    /** Time that is left of the latency objective, less what an answer takes on average, ms; may be negative. */
+    readonly slackMs: number;
+}
+
 const SOON_MS = 60;
 const SOON_SPREAD_MS = 100;
+/** Part of the slack that a caller may wait; the rest is for answers that take longer than the mean. */
+const SLACK_SHARE = 0.5;
+/** A shorter wait than this meets the overload that led to the refusal. */
+const MIN_SLACK_MS = 25;
 const MIN_SPREAD_MS = 80;
 const MAX_SPREAD_MS = 1500;
 /** Callers honour a wait of up to a third of the time that they have left. */
 const MAX_FAILING_MS = 5000;
 const SPREAD_SHARE = 0.3;
 
-export function retryAfterMs(reason: RefusalReason, leftMs: number, rand: () => number): number {
+export function retryAfterMs(
+    reason: RefusalReason,
+    { leftMs, slackMs }: CallerPatience,
+    rand: () => number,
+): number {
     switch (reason) {
         case "failing-below":
             // What fails below seldom recovers soon; the caller has one more try and is best served by a late one.
@@ -21,10 +37,8 @@
         case "queue-timeout":
         case "target-shed":
         case "memory":
-        case "crashes-targets": {
-            const spread = Math.min(MAX_SPREAD_MS, Math.max(MIN_SPREAD_MS, leftMs * SPREAD_SHARE));
-            return spread * (0.4 + 0.6 * rand());
-        }
+        case "crashes-targets":
+            return overloadSpreadMs(leftMs, slackMs) * (0.4 + 0.6 * rand());
         case "no-config":
         case "no-target":
         case "draining":
@@ -37,3 +51,9 @@
             return Math.min(leftMs * SPREAD_SHARE, SOON_MS + SOON_SPREAD_MS * rand());
     }
 }
+
+/** Longest wait under overload: a caller that can only be answered late returns when the overload may have passed. */
+function overloadSpreadMs(leftMs: number, slackMs: number): number {
+    if (slackMs >= MIN_SLACK_MS) return Math.min(slackMs * SLACK_SHARE, leftMs * SPREAD_SHARE);
+    return Math.min(MAX_SPREAD_MS, Math.max(MIN_SPREAD_MS, leftMs * SPREAD_SHARE));
+}
--- a/test/mesh/policy.test.ts
+++ b/test/mesh/policy.test.ts
@@ -320,11 +320,18 @@
     it("spreads callers refused under overload within the time that they honour", () => {
         const waits = Array.from(
             { length: 50 },
-            (_, index) => retryAfterMs("overload", 600, () => index / 50),
+            (_, index) => retryAfterMs("overload", { leftMs: 600, slackMs: 0 }, () => index / 50),
         );
         expect(Math.max(...waits)).to.be.at.most(200);
         expect(Math.max(...waits) - Math.min(...waits)).to.be.greaterThan(80);
     });
+
+    it("brings callers back while the mean answer is within the latency objective", () => {
+        const patience = { leftMs: 6000, slackMs: 700 };
+        for (let index = 0; index < 50; index++) {
+            expect(retryAfterMs("overload", patience, () => index / 50)).to.be.within(100, 700);
+        }
+    });
 });
 
 describe("routes", () => {
--- a/test/support/overloadModel.ts
+++ b/test/support/overloadModel.ts
@@ -9,6 +9,7 @@
 import { EntryCutoffs } from "../../src/policy/entryCutoff.ts";
 import { levelOf } from "../../src/policy/level.ts";
 import { retryAfterMs } from "../../src/policy/retryAfter.ts";
+import { RouteLatencies } from "../../src/policy/routeLatency.ts";
 import { PriorityQueue } from "../../src/policy/runQueue.ts";
 
 export interface ModelClass {
@@ -48,6 +49,7 @@
     readonly level: number;
     /** Time of the caller's first try. */
     readonly startedAt: number;
+    readonly enteredAt: number;
     readonly isReturned: boolean;
     callsLeft: number;
 }
@@ -82,6 +84,7 @@
     private readonly events = new TinyQueue<{ at: number; run: () => void; }>([], (a, b) => a.at - b.at);
     private readonly targets: readonly ModelTarget[];
     private readonly entry: EntryCutoffs;
+    private readonly latencies = new RouteLatencies();
     private readonly results = new Map<string, ClassResult>();
     private readonly random;
     private now = 0;
@@ -143,7 +146,7 @@
             this.refuse(kind, startedAt, isReturned);
             return;
         }
-        const request = { kind, level, startedAt, isReturned, callsLeft: kind.calls };
+        const request = { kind, level, startedAt, enteredAt: this.now, isReturned, callsLeft: kind.calls };
         this.at(CHAIN_MS, () => this.call(request));
     }
 
@@ -153,7 +156,8 @@
             return;
         }
         const leftMs = startedAt + kind.deadlineMs - this.now;
-        const waitMs = retryAfterMs("overload", leftMs, () => this.uniform());
+        const slackMs = kind.objectiveMs - this.latencies.meanMs(kind.name);
+        const waitMs = retryAfterMs("overload", { leftMs, slackMs }, () => this.uniform());
         this.at(waitMs, () => this.enter(kind, startedAt, true));
     }
 
@@ -197,6 +201,7 @@
             return;
         }
         const result = this.results.get(request.kind.name)!;
+        this.latencies.note(request.kind.name, this.now - request.enteredAt);
         const tookMs = this.now - request.startedAt;
         if (tookMs <= request.kind.objectiveMs) {
             result.inTime++;
