Bound what is read of answers that do not end

A faulty target may send bytes that are no answer until its connection is closed. Unbounded were: empty lines, interim heads and answers to other requests (nothing ended them before the deadline), trailers, and bodies of tiny chunks, each of which was kept as a buffer of its own and held the larger one that it lay in. All answers together could take the slots times 64 MiB. A request that must not be repeated kept its slot 0.4 s beyond the deadline although its target was sending, and a probe had no time limit at all.

Each of these has a bound now: 8 empty lines, 16 answers before the request's own, trailers as long as a head, 16 MiB an answer and 32 MiB for all that are being read, of which the largest gives way. Small pieces of a body are copied together. A caller that leaves or times out ends also a request that must not be repeated once its target sends an answer: it has run. The line run-ended says in the field detail what was wrong.

--- a/src/http/messageReader.ts
+++ b/src/http/messageReader.ts
@@ -34,6 +34,13 @@
 const EMPTY = Buffer.alloc(0);
 const HEAD_END = "\r\n\r\n";
 const MAX_CHUNK_LINE_BYTES = 256;
+/** Empty lines before a message that are passed over; some peers send one. */
+const MAX_EMPTY_LINES = 8;
+/** Pieces of a body up to this size are copied together, so that they do not hold the larger buffers they lie in. */
+const SMALL_PIECE_BYTES = 1024;
+/** A body that arrives in few pieces is not copied. */
+const UNCOPIED_PIECES = 16;
+const BLOCK_BYTES = 16 * 1024;
 const CHUNK_SIZE = /^[0-9a-fA-F]{1,8}$/;
 
 type Stage = "head" | "length" | "chunk-size" | "chunk-data" | "trailer" | "until-close";
@@ -45,6 +52,11 @@
     private parts: Buffer[] = [];
     private bodyBytes = 0;
     private missing = 0;
+    private emptyLines = 0;
+    private trailerBytes = 0;
+    /** Takes small pieces of the body; it lies in `parts` up to what is filled. */
+    private block: Buffer | undefined;
+    private blockBytes = 0;
     /** Set for the answer to a request whose answer has no body whatever its head says. */
     isBodyless = false;
 
@@ -65,6 +77,11 @@
         return this.buffer.length + this.bodyBytes;
     }
 
+    /** Buffers that hold the body so far. */
+    get heldPieces(): number {
+        return this.parts.length;
+    }
+
     feed(chunk: Buffer): void {
         this.buffer = this.buffer.length === 0 ? chunk : Buffer.concat([this.buffer, chunk]);
     }
@@ -117,6 +134,7 @@
     /** An empty line before a message is ignored, as RFC 9112 asks of servers. */
     private skipEmptyLines(): void {
         while (this.buffer.length >= 2 && this.buffer[0] === 13 && this.buffer[1] === 10) {
+            if (++this.emptyLines > MAX_EMPTY_LINES) throw new HttpSyntaxError(400, "too many empty lines");
             this.buffer = this.buffer.subarray(2);
         }
     }
@@ -177,6 +195,10 @@
         const line = this.readLine();
         if (line === undefined) return false;
         if (line === "") this.stage = "head";
+        this.trailerBytes += line.length;
+        if (this.trailerBytes > this.limits.maxHeadBytes) {
+            throw new HttpSyntaxError(431, "trailers too large");
+        }
         return true;
     }
 
@@ -194,20 +216,45 @@
 
     private take(bytes: number): number {
         if (bytes === 0) return 0;
-        this.parts.push(this.buffer.subarray(0, bytes));
         this.bodyBytes += bytes;
         if (this.bodyBytes > this.limits.maxBodyBytes) throw new HttpSyntaxError(413, "body too large");
+        this.hold(this.buffer.subarray(0, bytes));
         this.buffer = this.buffer.length === bytes ? EMPTY : this.buffer.subarray(bytes);
         return bytes;
     }
 
+    private hold(piece: Buffer): void {
+        if (piece.length > SMALL_PIECE_BYTES || this.parts.length < UNCOPIED_PIECES) {
+            this.closeBlock();
+            this.parts.push(piece);
+            return;
+        }
+        if (this.block !== undefined && this.blockBytes + piece.length > BLOCK_BYTES) this.closeBlock();
+        if (this.block === undefined) {
+            this.block = Buffer.allocUnsafeSlow(BLOCK_BYTES);
+            this.parts.push(this.block);
+        }
+        this.blockBytes += piece.copy(this.block, this.blockBytes);
+    }
+
+    /** Cuts the block, which is the last part, to what is filled. */
+    private closeBlock(): void {
+        if (this.block === undefined) return;
+        this.parts[this.parts.length - 1] = this.block.subarray(0, this.blockBytes);
+        this.block = undefined;
+        this.blockBytes = 0;
+    }
+
     private finish(): Message<H> {
+        this.closeBlock();
         const { parts } = this;
         const body = parts.length === 0 ? EMPTY : parts.length === 1 ? parts[0]! : Buffer.concat(parts);
         const message = { head: this.head!, body };
         this.head = undefined;
         this.parts = [];
         this.bodyBytes = 0;
+        this.emptyLines = 0;
+        this.trailerBytes = 0;
         this.stage = "head";
         return message;
     }
--- a/src/mesh/runLog.ts
+++ b/src/mesh/runLog.ts
@@ -28,10 +28,13 @@
         this.decision("run-refused", run, { reason, ...this.fields(run, now) });
     }
 
-    ended(run: LoggedRun, now: number, outcome: Outcome): void {
+    /** `detail`: what was wrong with an answer that cannot be used. */
+    ended(run: LoggedRun, now: number, outcome: Outcome, detail?: string): void {
         const hasFailed = outcome.kind !== "answer" || outcome.status >= 500;
         if (!hasFailed && !run.isTraced) return;
-        const how = outcome.kind === "answer" ? { status: outcome.status } : { reason: outcome.reason };
+        const how = outcome.kind === "answer"
+            ? { status: outcome.status }
+            : { reason: outcome.reason, detail };
         this.decision("run-ended", run, { ...how, ...this.fields(run, now) });
     }
 
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -11,7 +11,7 @@
 import type { LatencySamples } from "./latencySamples.ts";
 import { RunLog } from "./runLog.ts";
 import { TargetPool } from "./targetPool.ts";
-import type { Reply, TargetPoolOptions } from "./targetPool.ts";
+import type { Reply, Sending, TargetPoolOptions } from "./targetPool.ts";
 import type { FailureReason, LoadReport, Outcome, RefusalReason, RunRequest, TargetRecord } from "./types.ts";
 
 export interface RunListener {
@@ -27,7 +27,8 @@
     readonly deadlineAt: number;
     readonly listener: RunListener;
     startedAt: number;
-    breakOff: (() => void) | undefined;
+    /** The request at the target, once it was sent. */
+    sending: Sending | undefined;
     isDone: boolean;
     isToldSilent: boolean;
 }
@@ -49,6 +50,8 @@
 const SILENT_MS = 700;
 const SILENT_SERVICE_TIMES = 6;
 const TRIAL_EVERY_MS = 300;
+/** A target that does not answer a probe in this time is left to its next heartbeat. */
+const PROBE_TIMEOUT_MS = 2000;
 /** How long after its deadline a run without an answer is given up. */
 const OVERDUE_MS = 400;
 /** The target gets slightly less time than is left, so that its own timeout answer still arrives in time. */
@@ -130,7 +133,7 @@
             waitUntil: now + Math.min(req.queueMs, req.leftMs),
             listener,
             startedAt: 0,
-            breakOff: undefined,
+            sending: undefined,
             isDone: false,
             isToldSilent: false,
         };
@@ -141,7 +144,10 @@
         return run;
     }
 
-    /** The caller no longer waits. A request that must not be repeated is left to end at the target. */
+    /**
+     * The caller no longer waits. A request that must not be repeated is left to end at the target, unless the target
+     * has ended it and is sending an answer.
+     */
     cancel(run: Run): void {
         if (run.isDone) return;
         if (run.startedAt === 0) {
@@ -150,26 +156,29 @@
             this.log.cancelled(run, steadyNow());
             return;
         }
-        if (!run.req.isIdempotent) return;
+        if (!run.req.isIdempotent && run.sending?.isAnswering() !== true) return;
         this.log.cancelled(run, steadyNow());
-        run.breakOff?.();
+        run.sending?.breakOff();
         this.end(run);
     }
 
     /** Asks the target whether it is well; `onResult` gets its id if so. */
     probe(path: string, onResult: (healthyId: string | undefined) => void): void {
         const { host, port } = this.options;
-        this.pool.send({
+        const timer = setTimeout(() => {
+            sending.breakOff();
+            onResult(undefined);
+        }, PROBE_TIMEOUT_MS);
+        const sending = this.pool.send({
             requestId: "",
             method: "GET",
             isIdempotent: true,
             bytes: Buffer.from(`GET ${path} HTTP/1.1\r\nHost: ${host}:${port}\r\n\r\n`, "latin1"),
-            onReply: reply =>
-                onResult(
-                    reply.kind === "response" && reply.head.status === 200
-                        ? reply.head.instanceId
-                        : undefined,
-                ),
+            onReply: reply => {
+                clearTimeout(timer);
+                const isHealthy = reply.kind === "response" && reply.head.status === 200;
+                onResult(isHealthy ? reply.head.instanceId : undefined);
+            },
         });
     }
 
@@ -261,7 +270,7 @@
         this.options.latencies.record("queue", now - run.arrivedAt);
         this.log.started(run, now);
         this.running.set(run.req.requestId, run);
-        run.breakOff = this.pool.send({
+        run.sending = this.pool.send({
             requestId: run.req.requestId,
             method: run.req.method,
             isIdempotent: run.req.isIdempotent,
@@ -299,7 +308,7 @@
         const outcome = outcomeOf(reply, run.req.isIdempotent);
         const hasFailed = outcome.kind !== "answer" || outcome.status >= 500;
         this.failureRate += FAILURE_SMOOTHING * ((hasFailed ? 1 : 0) - this.failureRate);
-        this.finish(run, outcome);
+        this.finish(run, outcome, reply.kind === "lost" ? reply.detail : undefined);
     }
 
     private noteProgress(run: Run, now: number, wasShed: boolean): void {
@@ -312,8 +321,8 @@
             : this.serviceMs + SERVICE_TIME_SMOOTHING * (took - this.serviceMs);
     }
 
-    private finish(run: Run, outcome: Outcome): void {
-        this.log.ended(run, steadyNow(), outcome);
+    private finish(run: Run, outcome: Outcome, detail?: string): void {
+        this.log.ended(run, steadyNow(), outcome, detail);
         this.end(run);
         run.listener.onDone(outcome);
     }
@@ -334,7 +343,7 @@
     }
 
     private giveUp(run: Run, reason: FailureReason): void {
-        run.breakOff?.();
+        run.sending?.breakOff();
         this.finish(run, { kind: "unknown", reason });
     }
 
--- a/src/mesh/targetPool.ts
+++ b/src/mesh/targetPool.ts
@@ -14,7 +14,15 @@
     | { readonly kind: "response"; readonly head: ResponseHead; readonly body: Buffer; }
     /** Nothing was sent: the connection could not be opened. */
     | { readonly kind: "unreachable"; }
-    | { readonly kind: "lost"; readonly reason: FailureReason; };
+    /** `detail` says for the log what was wrong with the answer. */
+    | { readonly kind: "lost"; readonly reason: FailureReason; readonly detail?: string; };
+
+/** A request that was sent. */
+export interface Sending {
+    breakOff(): void;
+    /** Whether an answer has begun that is not complete yet. */
+    isAnswering(): boolean;
+}
 
 export interface Exchange {
     readonly requestId: string;
@@ -32,7 +40,11 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Shared by all connections to the target: what is read is copied before the next read. */
 const READ_BUFFER = Buffer.allocUnsafeSlow(64 * 1024);
-const LIMITS = { maxHeadBytes: 64 * 1024, maxBodyBytes: 64 * 1024 * 1024 };
+const LIMITS = { maxHeadBytes: 64 * 1024, maxBodyBytes: 16 * 1024 * 1024 };
+/** Bytes of all answers that are being read; a node has 128 MB, and an answer is copied when it is passed on. */
+const MAX_READING_BYTES = 32 * 1024 * 1024;
+/** Interim answers and answers to other requests that are passed over before a request's own. */
+const MAX_PASSED_OVER = 16;
 
 export interface TargetPoolOptions {
     readonly host: string;
@@ -45,8 +57,11 @@
     idleSince = 0;
     idleTimeoutMs = DEFAULT_IDLE_MS;
     current: Exchange | undefined;
+    /** Bytes of the answer that is being read. */
+    readingBytes = 0;
     private readonly reader: MessageReader<ResponseHead>;
     private isOpen = false;
+    private passedOver = 0;
 
     constructor(private readonly options: TargetPoolOptions, private readonly pool: TargetPool) {
         this.reader = new MessageReader<ResponseHead>(options.protocol.parseResponse, LIMITS);
@@ -64,10 +79,23 @@
 
     start(exchange: Exchange): void {
         this.current = exchange;
+        this.passedOver = 0;
         this.reader.isBodyless = exchange.method === "HEAD";
         if (this.isOpen) this.socket.write(exchange.bytes);
     }
 
+    get isAnswering(): boolean {
+        return this.reader.isMidMessage;
+    }
+
+    /** Ends the exchange, since its answer cannot be used. */
+    fail(detail: string): void {
+        const exchange = this.current;
+        this.current = undefined;
+        this.socket.destroy();
+        exchange?.onReply({ kind: "lost", reason: "bad-answer", detail });
+    }
+
     private onConnect(): void {
         this.isOpen = true;
         this.socket.setTimeout(0);
@@ -81,6 +109,7 @@
         }
         this.reader.feed(Buffer.from(READ_BUFFER.subarray(0, bytes)));
         this.read(() => this.reader.next());
+        this.pool.noteReading(this, this.current === undefined ? 0 : this.reader.bufferedBytes);
         return true;
     }
 
@@ -97,7 +126,7 @@
         }
         catch (err) {
             if (!(err instanceof HttpSyntaxError)) throw err;
-            this.fail("bad-answer");
+            this.fail(err.message);
         }
     }
 
@@ -105,10 +134,13 @@
     private take({ head, body }: Message<ResponseHead>): boolean {
         const exchange = this.current;
         if (exchange === undefined) return true;
-        if (head.status < 200) return false;
-        if (head.requestId !== undefined && head.requestId !== exchange.requestId) return false;
+        if (head.status < 200 || head.requestId !== undefined && head.requestId !== exchange.requestId) {
+            if (++this.passedOver <= MAX_PASSED_OVER) return false;
+            this.fail("too many answers before its own");
+            return true;
+        }
         if (!this.isWhole(head, body)) {
-            this.fail("bad-answer");
+            this.fail("body of another length than its seal states");
             return true;
         }
         this.current = undefined;
@@ -125,13 +157,6 @@
         return this.options.protocol.isSealedLength(seal, body.length);
     }
 
-    private fail(reason: FailureReason): void {
-        const exchange = this.current;
-        this.current = undefined;
-        this.socket.destroy();
-        exchange?.onReply({ kind: "lost", reason });
-    }
-
     private onClose(): void {
         this.pool.forget(this);
         const exchange = this.current;
@@ -145,20 +170,39 @@
 export class TargetPool {
     private readonly idle: TargetConnection[] = [];
     private readonly all = new Set<TargetConnection>();
+    private reading = 0;
 
     constructor(private readonly options: TargetPoolOptions) {}
 
-    /** Sends a request; returns a function that breaks it off. */
-    send(exchange: Exchange): () => void {
+    /** Bytes held of all answers that are being read. */
+    get readingBytes(): number {
+        return this.reading;
+    }
+
+    send(exchange: Exchange): Sending {
         const conn = this.takeIdle(exchange.isIdempotent) ?? this.open();
         conn.start(exchange);
-        return () => {
-            if (conn.current !== exchange) return;
-            conn.current = undefined;
-            conn.socket.destroy();
+        return {
+            breakOff: () => {
+                if (conn.current !== exchange) return;
+                conn.current = undefined;
+                conn.socket.destroy();
+            },
+            isAnswering: () => conn.current === exchange && conn.isAnswering,
         };
     }
 
+    /** Notes what a connection holds of an answer; above the bound of all, the largest one is given up. */
+    noteReading(conn: TargetConnection, bytes: number): void {
+        this.reading += bytes - conn.readingBytes;
+        conn.readingBytes = bytes;
+        if (this.reading <= MAX_READING_BYTES) return;
+        let largest = conn;
+        for (const other of this.all) if (other.readingBytes > largest.readingBytes) largest = other;
+        this.noteReading(largest, 0);
+        largest.fail("answers that are being read take too much memory");
+    }
+
     release(conn: TargetConnection): void {
         conn.idleSince = steadyNow();
         this.idle.push(conn);
@@ -166,6 +210,7 @@
 
     forget(conn: TargetConnection): void {
         this.all.delete(conn);
+        this.noteReading(conn, 0);
         const index = this.idle.indexOf(conn);
         if (index >= 0) this.idle.splice(index, 1);
     }
--- a/test/mesh/httpFraming.test.ts
+++ b/test/mesh/httpFraming.test.ts
@@ -66,6 +66,21 @@
         }));
     });
 
+    it("keeps a body as it was sent, in pieces of any sizes", () => {
+        const sizes = fc.array(fc.integer({ min: 1, max: 3000 }), { minLength: 1, maxLength: 60 });
+        fc.assert(fc.property(sizes, pieces => {
+            const parts = pieces.map((size, index) => String.fromCharCode(97 + index % 26).repeat(size));
+            const reader = requestReader({ maxHeadBytes: 4096, maxBodyBytes: 1_000_000 });
+            reader.feed(Buffer.from(request({ headers: "Transfer-Encoding: chunked\r\n" })));
+            for (const part of parts) {
+                reader.feed(Buffer.from(`${part.length.toString(16)}\r\n${part}\r\n`));
+                expect(reader.next()).to.equal(undefined);
+            }
+            reader.feed(Buffer.from("0\r\n\r\n"));
+            expect(reader.next()!.body.toString()).to.equal(parts.join(""));
+        }));
+    });
+
     it("fails on garbage with a syntax error and nothing else", () => {
         fc.assert(fc.property(fc.array(fc.uint8Array({ maxLength: 200 }), { maxLength: 5 }), chunks => {
             for (const reader of [requestReader(), responseReader()]) {
