Let refused callers return in time only when the overload lasts

The shorter wait after a refusal brought callers back into overloads that were just beginning.

At the beginning of an overload callers now return late again. Once a route has been refused for longer than its latency objective, the overload is expected to go on, and they return while they can be answered in time.

--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -7,6 +7,8 @@
 import type { Message } from "../http/messageReader.ts";
 import { EntryCutoffs } from "../policy/entryCutoff.ts";
 import { levelOf, MAX_LEVEL } from "../policy/level.ts";
+import { OverloadSpans } from "../policy/overloadSpans.ts";
+import { isOverload } from "../policy/retryAfter.ts";
 import type { CallerPatience } from "../policy/retryAfter.ts";
 import type { RetryBudget } from "../policy/retryBudget.ts";
 import { decideRetry, maySendBeside, repeatCharges, wasSeenByTarget } from "../policy/retryDecision.ts";
@@ -46,6 +48,7 @@
 }
 
 const DEFAULT_DEADLINE_MS = 30_000;
+const NO_PATIENCE_KNOWN = { leftMs: DEFAULT_DEADLINE_MS, slackMs: 0, isOverloadLasting: false };
 const MAX_ID_BYTES = 255;
 const TARGET_WAIT_STEP_MS = 25;
 const TIMER_GRAIN_MS = 4;
@@ -55,6 +58,7 @@
     private readonly cutoffs: EntryCutoffs;
     private readonly breaker = new RouteBreaker();
     private readonly routeLatencies = new RouteLatencies();
+    private readonly overloads = new OverloadSpans();
     private readonly log: CallLog;
     private readonly dispatcher: Dispatcher;
     private readonly rand: () => number;
@@ -84,7 +88,7 @@
     handle(req: Message<RequestHead>, reply: Reply): (() => void) | undefined {
         const cfg = this.options.config();
         if (cfg === undefined) {
-            reply(refusalAnswer("no-config", { leftMs: DEFAULT_DEADLINE_MS, slackMs: 0 }, this.rand));
+            reply(refusalAnswer("no-config", NO_PATIENCE_KNOWN, this.rand));
             return undefined;
         }
         const { head } = req;
@@ -311,14 +315,17 @@
         if (call.parent === undefined) this.options.counters.clientRefusals++;
         this.log.refused(call, reason, cutoff);
         this.options.latencies.record("refused", steadyNow() - call.startedAt);
-        this.finish(call, refusalAnswer(reason, this.patienceOf(call), this.rand));
+        this.finish(call, refusalAnswer(reason, this.patienceOf(call, reason), this.rand));
     }
 
-    private patienceOf({ route, startedAt, endsAt }: Call): CallerPatience {
+    private patienceOf({ route, startedAt, endsAt }: Call, reason: RefusalReason): CallerPatience {
         const now = steadyNow();
-        const slackMs = route.latencyObjectiveMs - (now - startedAt)
-            - this.routeLatencies.meanMs(route.name);
-        return { leftMs: Math.max(0, endsAt - now), slackMs };
+        const objectiveMs = route.latencyObjectiveMs;
+        return {
+            leftMs: Math.max(0, endsAt - now),
+            slackMs: objectiveMs - (now - startedAt) - this.routeLatencies.meanMs(route.name),
+            isOverloadLasting: isOverload(reason) && this.overloads.note(route.name, now) > objectiveMs,
+        };
     }
 
     private fail(call: Call, reason: FailureReason): void {
--- a/src/policy/retryAfter.ts
+++ b/src/policy/retryAfter.ts
@@ -1,7 +1,8 @@
 /**
- * When a caller that was refused may come back. Under overload it returns while it can still be answered within the
- * latency objective of its route; refusals are spread over that time, so that the refused do not return together.
- * Other refusals end soon.
+ * When a caller that was refused may come back. At the beginning of an overload it returns late, when the overload may
+ * have passed. An overload that has lasted longer than the latency objective of the route is expected to go on, and a
+ * late return would then only make the answer late: the caller returns while it can still be answered within the
+ * objective. Refusals are spread over the time, so that the refused do not return together. Other refusals end soon.
  */
 import type { RefusalReason } from "../mesh/types.ts";
 
@@ -10,8 +11,11 @@
     readonly leftMs: number;
     /** Time that is left of the latency objective, less what an answer takes on average, ms; may be negative. */
     readonly slackMs: number;
+    /** Whether the route has been overloaded for longer than its latency objective. */
+    readonly isOverloadLasting: boolean;
 }
 
+const OVERLOAD_REASONS: readonly RefusalReason[] = ["overload", "queue-timeout", "target-shed", "memory"];
 const SOON_MS = 60;
 const SOON_SPREAD_MS = 100;
 /** Part of the slack that a caller may wait; the rest is for answers that take longer than the mean. */
@@ -24,11 +28,17 @@
 const MAX_FAILING_MS = 5000;
 const SPREAD_SHARE = 0.3;
 
+/** Whether a refusal tells that there is more demand than capacity. */
+export function isOverload(reason: RefusalReason): boolean {
+    return OVERLOAD_REASONS.includes(reason);
+}
+
 export function retryAfterMs(
     reason: RefusalReason,
-    { leftMs, slackMs }: CallerPatience,
+    patience: CallerPatience,
     rand: () => number,
 ): number {
+    const { leftMs } = patience;
     switch (reason) {
         case "failing-below":
             // What fails below seldom recovers soon; the caller has one more try and is best served by a late one.
@@ -38,7 +48,7 @@
         case "target-shed":
         case "memory":
         case "crashes-targets":
-            return overloadSpreadMs(leftMs, slackMs) * (0.4 + 0.6 * rand());
+            return overloadSpreadMs(patience) * (0.4 + 0.6 * rand());
         case "no-config":
         case "no-target":
         case "draining":
@@ -52,8 +62,9 @@
     }
 }
 
-/** Longest wait under overload: a caller that can only be answered late returns when the overload may have passed. */
-function overloadSpreadMs(leftMs: number, slackMs: number): number {
-    if (slackMs >= MIN_SLACK_MS) return Math.min(slackMs * SLACK_SHARE, leftMs * SPREAD_SHARE);
-    return Math.min(MAX_SPREAD_MS, Math.max(MIN_SPREAD_MS, leftMs * SPREAD_SHARE));
+/** Longest wait under overload. */
+function overloadSpreadMs({ leftMs, slackMs, isOverloadLasting }: CallerPatience): number {
+    const mostMs = leftMs * SPREAD_SHARE;
+    if (isOverloadLasting && slackMs >= MIN_SLACK_MS) return Math.min(slackMs * SLACK_SHARE, mostMs);
+    return Math.min(MAX_SPREAD_MS, Math.max(MIN_SPREAD_MS, mostMs));
 }
--- a/test/mesh/policy.test.ts
+++ b/test/mesh/policy.test.ts
@@ -7,6 +7,7 @@
 import { Cutoff } from "../../src/policy/cutoff.ts";
 import { EntryCutoffs } from "../../src/policy/entryCutoff.ts";
 import { BUCKETS, levelOf, MAX_LEVEL } from "../../src/policy/level.ts";
+import { OverloadSpans } from "../../src/policy/overloadSpans.ts";
 import { retryAfterMs } from "../../src/policy/retryAfter.ts";
 import { RetryBudget } from "../../src/policy/retryBudget.ts";
 import { decideRetry, repeatCharges } from "../../src/policy/retryDecision.ts";
@@ -338,20 +339,36 @@
     it("spreads callers refused under overload within the time that they honour", () => {
         const waits = Array.from(
             { length: 50 },
-            (_, index) => retryAfterMs("overload", { leftMs: 600, slackMs: 0 }, () => index / 50),
+            (_, index) =>
+                retryAfterMs(
+                    "overload",
+                    { leftMs: 600, slackMs: 0, isOverloadLasting: true },
+                    () => index / 50,
+                ),
         );
         expect(Math.max(...waits)).to.be.at.most(200);
         expect(Math.max(...waits) - Math.min(...waits)).to.be.greaterThan(80);
     });
 
-    it("brings callers back while the mean answer is within the latency objective", () => {
-        const patience = { leftMs: 6000, slackMs: 700 };
+    it("brings callers back while the mean answer is within the latency objective in a lasting overload", () => {
+        const patience = { leftMs: 6000, slackMs: 700, isOverloadLasting: true };
         for (let index = 0; index < 50; index++) {
             expect(retryAfterMs("overload", patience, () => index / 50)).to.be.within(100, 700);
         }
     });
 });
 
+describe("overload of a route", () => {
+    it("lasts from its first refusal until there is none for a while", () => {
+        const spans = new OverloadSpans();
+        expect(spans.note("r", 1000)).to.equal(0);
+        expect(spans.note("other", 1300)).to.equal(0);
+        expect(spans.note("r", 1400)).to.equal(400);
+        expect(spans.note("r", 1800)).to.equal(800);
+        expect(spans.note("r", 2400)).to.equal(0);
+    });
+});
+
 describe("routes", () => {
     it("match the longest prefix of the host", () => {
         const short = makeRoute({ name: "short", pathPrefix: "/a/" });
--- a/test/support/overloadModel.ts
+++ b/test/support/overloadModel.ts
@@ -10,6 +10,7 @@
 import { Cutoff } from "../../src/policy/cutoff.ts";
 import { EntryCutoffs } from "../../src/policy/entryCutoff.ts";
 import { levelOf } from "../../src/policy/level.ts";
+import { OverloadSpans } from "../../src/policy/overloadSpans.ts";
 import { retryAfterMs } from "../../src/policy/retryAfter.ts";
 import { RouteLatencies } from "../../src/policy/routeLatency.ts";
 import { PriorityQueue } from "../../src/policy/runQueue.ts";
@@ -140,6 +141,7 @@
     private readonly callers: readonly (readonly ModelCandidate[])[];
     private readonly entry: EntryCutoffs;
     private readonly latencies = new RouteLatencies();
+    private readonly overloads = new OverloadSpans();
     private readonly results = new Map<string, ClassResult>();
     private readonly random;
     private now = 0;
@@ -219,7 +221,9 @@
         }
         const leftMs = startedAt + kind.deadlineMs - this.now;
         const slackMs = kind.objectiveMs - this.latencies.meanMs(kind.name);
-        const waitMs = retryAfterMs("overload", { leftMs, slackMs }, () => this.uniform());
+        const isOverloadLasting = this.overloads.note(kind.name, this.now) > kind.objectiveMs;
+        const patience = { leftMs, slackMs, isOverloadLasting };
+        const waitMs = retryAfterMs("overload", patience, () => this.uniform());
         this.at(waitMs, () => this.enter(kind, startedAt, true));
     }
 
