--- /dev/null
+++ b/test/platform/storeClient.test.ts
@@ -0,0 +1,52 @@
+/** The client of the store: an answer that does not end neither fills the memory nor holds up the next call. */
+import { expect } from "chai";
+import http from "node:http";
+import type net from "node:net";
+import { StoreClient, StoreError } from "../../platform/storeClient.ts";
+
+const MOST_BYTES = 64 * 1024 * 1024;
+
+/** A store that answers the first call with a body without end. */
+class EndlessStore {
+    bytes = 0;
+    private calls = 0;
+    private readonly server = http.createServer((_req, res) => {
+        if (this.calls++ === 0) this.flood(res);
+        else res.writeHead(200).end(JSON.stringify({ items: [], has_more: false, end: 7 }));
+    });
+
+    async listen(): Promise<number> {
+        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
+        return (this.server.address() as net.AddressInfo).port;
+    }
+
+    stop(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private flood(res: http.ServerResponse): void {
+        const part = Buffer.alloc(64 * 1024);
+        const send = () => {
+            if (res.destroyed || this.bytes > MOST_BYTES) return;
+            this.bytes += part.length;
+            if (res.write(part)) setImmediate(send);
+            else res.once("drain", send);
+        };
+        send();
+    }
+}
+
+describe("client of the store", () => {
+    it("gives up an answer without end, and the next call is answered", async () => {
+        const store = new EndlessStore();
+        const client = new StoreClient({ host: "127.0.0.1", port: await store.listen() });
+        const failure = await client.readNewest("keyed.op").then(() => undefined, (err: unknown) => err);
+        expect(failure).to.be.instanceOf(StoreError);
+        expect((failure as StoreError).message).to.contain("more than");
+        expect(store.bytes).to.be.lessThan(MOST_BYTES);
+        expect((await client.readNewest("keyed.op")).end).to.equal(7);
+        client.close();
+        store.stop();
+    });
+});
