--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -48,7 +48,7 @@
 }
 
 const DEFAULT_DEADLINE_MS = 30_000;
-const NO_PATIENCE_KNOWN = { leftMs: DEFAULT_DEADLINE_MS, slackMs: 0, isOverloadLasting: false };
+const NO_PATIENCE_KNOWN = { leftMs: DEFAULT_DEADLINE_MS, slackMs: 0, overloadMs: 0 };
 const MAX_ID_BYTES = 255;
 const TARGET_WAIT_STEP_MS = 25;
 const TIMER_GRAIN_MS = 4;
@@ -320,11 +320,10 @@
 
     private patienceOf({ route, startedAt, endsAt }: Call, reason: RefusalReason): CallerPatience {
         const now = steadyNow();
-        const objectiveMs = route.latencyObjectiveMs;
         return {
             leftMs: Math.max(0, endsAt - now),
-            slackMs: objectiveMs - (now - startedAt) - this.routeLatencies.meanMs(route.name),
-            isOverloadLasting: isOverload(reason) && this.overloads.note(route.name, now) > objectiveMs,
+            slackMs: route.latencyObjectiveMs - (now - startedAt) - this.routeLatencies.meanMs(route.name),
+            overloadMs: isOverload(reason) ? this.overloads.note(route.name, now) : 0,
         };
     }
 
--- a/src/policy/retryAfter.ts
+++ b/src/policy/retryAfter.ts
@@ -1,8 +1,8 @@
 /**
  * When a caller that was refused may come back. At the beginning of an overload it returns late, when the overload may
- * have passed. An overload that has lasted longer than the latency objective of the route is expected to go on, and a
- * late return would then only make the answer late: the caller returns while it can still be answered within the
- * objective. Refusals are spread over the time, so that the refused do not return together. Other refusals end soon.
+ * have passed. One that has outlasted such waits is expected to go on, and a late return would then only make the
+ * answer late: the caller returns while it can still be answered within the latency objective of its route. Refusals
+ * are spread over the time, so that the refused do not return together. Other refusals end soon.
  */
 import type { RefusalReason } from "../mesh/types.ts";
 
@@ -11,8 +11,8 @@
     readonly leftMs: number;
     /** Time that is left of the latency objective, less what an answer takes on average, ms; may be negative. */
     readonly slackMs: number;
-    /** Whether the route has been overloaded for longer than its latency objective. */
-    readonly isOverloadLasting: boolean;
+    /** For how long the route has been overloaded, ms. */
+    readonly overloadMs: number;
 }
 
 const OVERLOAD_REASONS: readonly RefusalReason[] = ["overload", "queue-timeout", "target-shed", "memory"];
@@ -22,6 +22,8 @@
 const SLACK_SHARE = 0.5;
 /** A shorter wait than this meets the overload that led to the refusal. */
 const MIN_SLACK_MS = 25;
+/** An overload that has outlasted this many late waits is expected to go on. */
+const LASTING_WAITS = 2;
 const MIN_SPREAD_MS = 80;
 const MAX_SPREAD_MS = 1500;
 /** Callers honour a wait of up to a third of the time that they have left. */
@@ -63,8 +65,9 @@
 }
 
 /** Longest wait under overload. */
-function overloadSpreadMs({ leftMs, slackMs, isOverloadLasting }: CallerPatience): number {
+function overloadSpreadMs({ leftMs, slackMs, overloadMs }: CallerPatience): number {
     const mostMs = leftMs * SPREAD_SHARE;
-    if (isOverloadLasting && slackMs >= MIN_SLACK_MS) return Math.min(slackMs * SLACK_SHARE, mostMs);
-    return Math.min(MAX_SPREAD_MS, Math.max(MIN_SPREAD_MS, mostMs));
+    const lateMs = Math.min(MAX_SPREAD_MS, Math.max(MIN_SPREAD_MS, mostMs));
+    const isLasting = overloadMs > LASTING_WAITS * lateMs;
+    return isLasting && slackMs >= MIN_SLACK_MS ? Math.min(slackMs * SLACK_SHARE, mostMs) : lateMs;
 }
--- a/test/mesh/policy.test.ts
+++ b/test/mesh/policy.test.ts
@@ -342,7 +342,7 @@
             (_, index) =>
                 retryAfterMs(
                     "overload",
-                    { leftMs: 600, slackMs: 0, isOverloadLasting: true },
+                    { leftMs: 600, slackMs: 0, overloadMs: 9000 },
                     () => index / 50,
                 ),
         );
@@ -351,11 +351,18 @@
     });
 
     it("brings callers back while the mean answer is within the latency objective in a lasting overload", () => {
-        const patience = { leftMs: 6000, slackMs: 700, isOverloadLasting: true };
+        const patience = { leftMs: 6000, slackMs: 700, overloadMs: 9000 };
         for (let index = 0; index < 50; index++) {
             expect(retryAfterMs("overload", patience, () => index / 50)).to.be.within(100, 700);
         }
     });
+
+    it("brings callers back late at the beginning of an overload, when it may have passed", () => {
+        const patience = { leftMs: 6000, slackMs: 700, overloadMs: 1000 };
+        for (let index = 0; index < 50; index++) {
+            expect(retryAfterMs("overload", patience, () => index / 50)).to.be.within(600, 1500);
+        }
+    });
 });
 
 describe("overload of a route", () => {
--- a/test/support/overloadModel.ts
+++ b/test/support/overloadModel.ts
@@ -221,8 +221,8 @@
         }
         const leftMs = startedAt + kind.deadlineMs - this.now;
         const slackMs = kind.objectiveMs - this.latencies.meanMs(kind.name);
-        const isOverloadLasting = this.overloads.note(kind.name, this.now) > kind.objectiveMs;
-        const patience = { leftMs, slackMs, isOverloadLasting };
+        const overloadMs = this.overloads.note(kind.name, this.now);
+        const patience = { leftMs, slackMs, overloadMs };
         const waitMs = retryAfterMs("overload", patience, () => this.uniform());
         this.at(waitMs, () => this.enter(kind, startedAt, true));
     }
