Match the demand with the level that was admitted half a second before

The demand of a priority is learned from the arrivals and the level that led to them. The cut-off took the level of 200 ms before, but the last service of a chain gets the calls of a run over half a second and more. A fall of the level so looked like a rise of the demand and the reverse: the cut-off went on falling while the queue was worked off, and rising while it filled.

The level of 500 ms before is taken now.

--- a/src/policy/cutoff.ts
+++ b/src/policy/cutoff.ts
@@ -26,8 +26,11 @@
 const SMALLEST_PART = 8 / BUCKETS;
 /** What is remembered of a priority that is not admitted fades by this factor in each window. */
 const FADING = 0.99;
-/** Windows after which a change of the admitted level shows in the arrivals. */
-const DELAY_TICKS = 2;
+/**
+ * Windows after which a change of the admitted level shows in the arrivals: runs above that are in progress go on making
+ * their calls for about half a second.
+ */
+const DELAY_TICKS = 5;
 /** Part of the most important priority that is always admitted, so that the effect of a cut can be seen. */
 const LOWEST_LEVEL = BUCKETS / 8;
 
--- a/test/mesh/overload.test.ts
+++ b/test/mesh/overload.test.ts
@@ -26,19 +26,24 @@
     });
 }
 
-/** Targets of different speeds at the end of a chain whose runs make their calls over half a second. */
-function playMixedSpeeds(seed: number): ModelResult {
+/** Targets of different speeds at the end of a chain whose runs make ten calls, one after the other. */
+function playMixedSpeeds(
+    seed: number,
+    factor: number,
+    speeds: readonly number[],
+    betweenCallsMs: number,
+): ModelResult {
     const classes: readonly ModelClass[] = [
-        { name: "book", priority: 0, perSecond: 405, calls: 10, objectiveMs: 1500, deadlineMs: 6000 },
-        { name: "read", priority: 1, perSecond: 257, calls: 1, objectiveMs: 120, deadlineMs: 500 },
-        { name: "list", priority: 2, perSecond: 828, calls: 10, objectiveMs: 1500, deadlineMs: 6000 },
+        { name: "book", priority: 0, perSecond: 225, calls: 10, objectiveMs: 1500, deadlineMs: 6000 },
+        { name: "read", priority: 1, perSecond: 143, calls: 1, objectiveMs: 120, deadlineMs: 500 },
+        { name: "list", priority: 2, perSecond: 460, calls: 10, objectiveMs: 1500, deadlineMs: 6000 },
     ];
     return playModel({
-        classes,
-        speeds: [1.4, 1, 0.6],
+        classes: classes.map(kind => ({ ...kind, perSecond: kind.perSecond * factor })),
+        speeds,
         slots: 54,
         workMs: WORK_MS,
-        betweenCallsMs: 40,
+        betweenCallsMs,
         seconds: 30,
         seed,
         isReturning: true,
@@ -74,11 +79,22 @@
 
     for (const seed of [1, 2, 3]) {
         it(`admits no more than targets of different speeds answer in time, seed ${seed}`, () => {
-            const { asked, late, failed } = playMixedSpeeds(seed).classes.get("list")!;
+            const { asked, late, failed } = playMixedSpeeds(seed, 1.8, [1.4, 1, 0.6], 40).classes.get(
+                "list",
+            )!;
             expect(late + failed).to.be.lessThan(asked * 0.05);
         });
     }
 
+    for (const seed of [1, 2, 3]) {
+        it(`keeps the slots in use below runs that make their calls over a second, seed ${seed}`, () => {
+            const speeds = [1.4, 0.6];
+            const { use } = playMixedSpeeds(seed, 1, speeds, 80);
+            const served = use.reduce((sum, share, index) => sum + share * speeds[index]!, 0);
+            expect(served / (speeds[0]! + speeds[1]!)).to.be.greaterThan(0.95);
+        });
+    }
+
     it("refuses nobody while the capacity suffices", () => {
         const results = play(0.7, 1).classes;
         for (const [name, { refused, asked }] of results) expect(refused / asked, name).to.be.lessThan(0.01);
