--- a/src/mesh/metricsPage.ts
+++ b/src/mesh/metricsPage.ts
@@ -10,6 +10,7 @@
 export const METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
 const PERCENTILES: readonly number[] = [50, 90, 99, 99.9];
+const MS_PER_S = 1000;
 const MICROSECONDS_PER_MS = 1000;
 const MICROSECONDS_PER_S = 1_000_000;
 /** Longer latencies count as five minutes. */
@@ -46,11 +47,28 @@
             "reason",
             counters.runRefusals,
         );
-        new Counter({
-            name: "filbertspool_latency_samples_lost_total",
-            help: "Latencies that no scrape came for in time",
-            registers: [registry],
-        }).inc(latencies.lost);
+        const total = (name: string, help: string, value: number) => {
+            new Counter({ name, help, registers: [registry] }).inc(value);
+        };
+        total("filbertspool_client_requests_total", "Requests of clients", counters.clientRequests);
+        total("filbertspool_client_refused_total", "Requests of clients refused", counters.clientRefusals);
+        total("filbertspool_client_served_total", "Answers below 500 to clients", counters.clientServed);
+        total("filbertspool_runs_started_total", "Requests sent to the target", counters.runsStarted);
+        total(
+            "filbertspool_runs_waited_seconds_total",
+            "Time that runs waited for a slot",
+            counters.runsWaitedMs / MS_PER_S,
+        );
+        total(
+            "filbertspool_slot_seconds_total",
+            "Time that runs used a slot",
+            counters.slotMs / MS_PER_S,
+        );
+        total(
+            "filbertspool_latency_samples_lost_total",
+            "Latencies that no scrape came for in time",
+            latencies.lost,
+        );
     }
 
     private async addGauges(registry: Registry): Promise<void> {
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -280,6 +280,9 @@
         expect(body).to.contain("filbertspool_refused_total{reason=\"target-shed\"} 1");
         expect(body).to.contain("filbertspool_repeated_total{reason=\"target-shed\"} 1");
         expect(body).to.contain("filbertspool_failed_total{reason=\"connection-lost\"} 1");
+        expect(body).to.contain("filbertspool_client_requests_total 2");
+        expect(body).to.contain("filbertspool_client_refused_total 1");
+        expect(body).to.contain("filbertspool_client_served_total 0");
         expect(body).to.contain("filbertspool_config_version 1");
         const lines = edge!.log.map(line => JSON.parse(line) as Record<string, unknown>);
         expect(lines.find(({ event }) => event === "refused")).to.include({
