Weigh targets by what they serve only where all have told it

An entry knows what a target serves from its answers. A target that had told nothing yet weighed 1 beside requests per millisecond of the others, about 2 to 4. What is remembered by route is bounded.

--- a/src/policy/entryCutoff.ts
+++ b/src/policy/entryCutoff.ts
@@ -3,7 +3,7 @@
  * tell their cut-offs as they change, so the entry follows within a tick and a hop, however deep the chain is.
  *
  * The cut-offs of a service's targets are combined as shares of the demand that they admit, weighted by what each
- * target serves. A mean of the levels themselves would let one target without a cut-off, whose level lies far above
+ * target serves where that is known. A mean of the levels themselves would let one target without a cut-off, whose level lies far above
  * those of all requests, undo the cut-offs of the others.
  */
 import { BUCKETS, MAX_LEVEL } from "./level.ts";
@@ -65,15 +65,14 @@
     }
 
     private admittedShare(targets: readonly CutoffSource[]): number {
-        const usualMs = usualServiceMs(targets);
+        const usable = targets.filter(({ isUsable }) => isUsable);
+        const weights = weightsOf(usable);
         let admitted = 0;
         let capacity = 0;
-        for (const { isUsable, cutoff, report } of targets) {
-            if (!isUsable) continue;
-            const serves = report === undefined ? 1 : report.limit / (report.serviceMs || usualMs);
-            admitted += serves * this.shareUpTo(cutoff);
-            capacity += serves;
-        }
+        usable.forEach(({ cutoff }, index) => {
+            admitted += weights[index]! * this.shareUpTo(cutoff);
+            capacity += weights[index]!;
+        });
         return admitted / capacity;
     }
 
@@ -104,14 +103,10 @@
     return Math.min(PRIORITIES - 1, Math.floor(level / BUCKETS));
 }
 
-/** Mean service time of the targets that have told theirs, ms. */
-function usualServiceMs(targets: readonly CutoffSource[]): number {
-    let sum = 0;
-    let count = 0;
-    for (const { report } of targets) {
-        if (report === undefined || report.serviceMs === 0) continue;
-        sum += report.serviceMs;
-        count++;
-    }
-    return count === 0 ? 1 : sum / count;
+/** Requests that each target serves in a time; equal unless all have told, as where requests for others pass. */
+function weightsOf(targets: readonly CutoffSource[]): readonly number[] {
+    const rates = targets.map(({ report }) =>
+        report === undefined || report.serviceMs === 0 ? 0 : report.limit / report.serviceMs
+    );
+    return rates.includes(0) ? rates.map(() => 1) : rates;
 }
--- a/src/policy/overloadSpans.ts
+++ b/src/policy/overloadSpans.ts
@@ -2,6 +2,8 @@
 
 /** Without a refusal for this long, an overload is over. */
 const QUIET_MS = 500;
+/** Routes remembered at most; routes come from the configuration, so this is a bound against many changes of it. */
+const MAX_ROUTES = 5000;
 
 interface Span {
     readonly since: number;
@@ -15,6 +17,7 @@
     note(route: string, now: number): number {
         let span = this.routes.get(route);
         if (span === undefined || now - span.lastAt > QUIET_MS) {
+            if (this.routes.size >= MAX_ROUTES) this.routes.clear();
             this.routes.set(route, span = { since: now, lastAt: now });
         }
         span.lastAt = now;
