Run requests for a third of the grace period in a stopping node

Nothing but its node reaches a target. A stopping node refused runs 1.2 s after the signal, but its process ended 2.3 s after it at the earliest, so the target stood idle for a second more than it had to.

Runs are now taken until 2 s of a grace period of 6 s; those in progress then have 3.2 s. There is no test, as it would assert an elapsed time; that runs are taken and then refused is covered by "still reaches the target beside a node that has just begun to stop, then no more".

--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -62,7 +62,7 @@
  * Part of the grace period in which a stopping node still runs requests of other nodes: its target lives on and cannot
  * be reached in another way. They have the rest of the time to end.
  */
-const STOP_RUN_SHARE = 0.2;
+const STOP_RUN_SHARE = 1 / 3;
 /** After this time from a stop signal, requests of clients are refused: they might outlast the process. */
 const STOP_ADMIT_MS = 2900;
 /** Time left before the end of the grace period at which the process ends whatever is in progress: exits take time. */
