--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -3,11 +3,12 @@
 import { createServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
 import { request } from "undici";
+import { messageOf } from "../../src/errors.ts";
 import { LogClient } from "../../src/logClient.ts";
 import { NO_BASE } from "../../src/logRecords.ts";
 import { LogService } from "../../src/standins/logService.ts";
 import type { Configuration, Kind } from "../../src/types.ts";
-import { freePort, ProcessGroup, untilStatus } from "./processes.ts";
+import { freePort, logTailOf, ProcessGroup, untilStatus } from "./processes.ts";
 
 const HOST = "127.0.0.1";
 
@@ -105,5 +106,9 @@
 }
 
 export async function untilReady(...nodes: readonly TestNode[]): Promise<void> {
-    await Promise.all(nodes.map(node => untilStatus(`${node.peer}/readyz`, 200)));
+    await Promise.all(nodes.map(async node => {
+        await untilStatus(`${node.peer}/readyz`, 200).catch((err: unknown) => {
+            throw new Error(`${messageOf(err)}; its log: ${logTailOf(node.process)}`);
+        });
+    }));
 }
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -32,12 +32,26 @@
     readonly stderr: string;
 }
 
+/** What nodes log here: enough to tell why one does not become ready. */
+const LOG_NAMESPACES = "filbertspool:started,filbertspool:log-read-failed,filbertspool:record";
+const LOG_TAIL_CHARS = 4000;
+const logTails = new WeakMap<ChildProcess, string>();
+
+/** The end of what a process has logged. */
+export function logTailOf(child: ChildProcess): string {
+    return logTails.get(child) ?? "";
+}
+
 export class ProcessGroup {
     private readonly children: ChildProcess[] = [];
 
     /** Starts a process that runs until `stop`. */
     start(args: readonly string[]): ChildProcess {
-        const child = spawn(BINARY, args, { stdio: "ignore" });
+        const env = { ...process.env, FILBERTSPOOL_LOG: LOG_NAMESPACES };
+        const child = spawn(BINARY, args, { stdio: ["ignore", "ignore", "pipe"], env });
+        child.stderr.on("data", chunk => {
+            logTails.set(child, (logTailOf(child) + String(chunk)).slice(-LOG_TAIL_CHARS));
+        });
         this.children.push(child);
         return child;
     }
