--- a/src/mesh/answers.ts
+++ b/src/mesh/answers.ts
@@ -1,6 +1,6 @@
 /** Answers that a node gives on its own account. */
 import type { HttpAnswer } from "../http/leanServer.ts";
-import type { CallerPatience } from "../policy/retryAfter.ts";
+import type { RefusalContext } from "../policy/retryAfter.ts";
 import { retryAfterMs } from "../policy/retryAfter.ts";
 import type { RefusalReason } from "./types.ts";
 
@@ -13,10 +13,10 @@
 /** The request has not run and will not run; the caller may come back after the time told. */
 export function refusalAnswer(
     reason: RefusalReason,
-    patience: CallerPatience,
+    context: RefusalContext,
     rand: () => number,
 ): HttpAnswer {
-    const seconds = (retryAfterMs(reason, patience, rand) / 1000).toFixed(3);
+    const seconds = (retryAfterMs(reason, context, rand) / 1000).toFixed(3);
     return {
         status: 503,
         headers: `Retry-After: ${seconds}\r\nX-Refusal-Reason: ${reason}\r\n`,
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -9,7 +9,7 @@
 import { levelOf, MAX_LEVEL } from "../policy/level.ts";
 import { OverloadSpans } from "../policy/overloadSpans.ts";
 import { isOverload } from "../policy/retryAfter.ts";
-import type { CallerPatience } from "../policy/retryAfter.ts";
+import type { RefusalContext } from "../policy/retryAfter.ts";
 import type { RetryBudget } from "../policy/retryBudget.ts";
 import { decideRetry, maySendBeside, repeatCharges, wasSeenByTarget } from "../policy/retryDecision.ts";
 import { RouteBreaker } from "../policy/routeBreaker.ts";
@@ -48,7 +48,7 @@
 }
 
 const DEFAULT_DEADLINE_MS = 30_000;
-const NO_PATIENCE_KNOWN = { leftMs: DEFAULT_DEADLINE_MS, slackMs: 0, overloadMs: 0 };
+const UNKNOWN_CONTEXT = { leftMs: DEFAULT_DEADLINE_MS, slackMs: 0, overloadMs: 0 };
 const MAX_ID_BYTES = 255;
 const TARGET_WAIT_STEP_MS = 25;
 const TIMER_GRAIN_MS = 4;
@@ -88,7 +88,7 @@
     handle(req: Message<RequestHead>, reply: Reply): (() => void) | undefined {
         const cfg = this.options.config();
         if (cfg === undefined) {
-            reply(refusalAnswer("no-config", NO_PATIENCE_KNOWN, this.rand));
+            reply(refusalAnswer("no-config", UNKNOWN_CONTEXT, this.rand));
             return undefined;
         }
         const { head } = req;
@@ -315,10 +315,10 @@
         if (call.parent === undefined) this.options.counters.clientRefusals++;
         this.log.refused(call, reason, cutoff);
         this.options.latencies.record("refused", steadyNow() - call.startedAt);
-        this.finish(call, refusalAnswer(reason, this.patienceOf(call, reason), this.rand));
+        this.finish(call, refusalAnswer(reason, this.contextOf(call, reason), this.rand));
     }
 
-    private patienceOf({ route, startedAt, endsAt }: Call, reason: RefusalReason): CallerPatience {
+    private contextOf({ route, startedAt, endsAt }: Call, reason: RefusalReason): RefusalContext {
         const now = steadyNow();
         return {
             leftMs: Math.max(0, endsAt - now),
--- a/src/policy/retryAfter.ts
+++ b/src/policy/retryAfter.ts
@@ -6,7 +6,7 @@
  */
 import type { RefusalReason } from "../mesh/types.ts";
 
-export interface CallerPatience {
+export interface RefusalContext {
     /** Time until the caller's deadline, ms. */
     readonly leftMs: number;
     /** Time that is left of the latency objective, less what an answer takes on average, ms; may be negative. */
@@ -20,7 +20,7 @@
 const SOON_SPREAD_MS = 100;
 /** Part of the slack that a caller may wait; the rest is for answers that take longer than the mean. */
 const SLACK_SHARE = 0.5;
-/** A shorter wait than this meets the overload that led to the refusal. */
+/** With less slack than this, a caller that returns can hardly be answered in time. */
 const MIN_SLACK_MS = 25;
 /** An overload that has outlasted this many late waits is expected to go on. */
 const LASTING_WAITS = 2;
@@ -35,12 +35,9 @@
     return OVERLOAD_REASONS.includes(reason);
 }
 
-export function retryAfterMs(
-    reason: RefusalReason,
-    patience: CallerPatience,
-    rand: () => number,
-): number {
-    const { leftMs } = patience;
+/** Time after which a refused caller may come back, ms; `rand` gives numbers in [0, 1). */
+export function retryAfterMs(reason: RefusalReason, context: RefusalContext, rand: () => number): number {
+    const { leftMs } = context;
     switch (reason) {
         case "failing-below":
             // What fails below seldom recovers soon; the caller has one more try and is best served by a late one.
@@ -50,7 +47,7 @@
         case "target-shed":
         case "memory":
         case "crashes-targets":
-            return overloadSpreadMs(patience) * (0.4 + 0.6 * rand());
+            return overloadSpreadMs(context) * (0.4 + 0.6 * rand());
         case "no-config":
         case "no-target":
         case "draining":
@@ -65,7 +62,7 @@
 }
 
 /** Longest wait under overload. */
-function overloadSpreadMs({ leftMs, slackMs, overloadMs }: CallerPatience): number {
+function overloadSpreadMs({ leftMs, slackMs, overloadMs }: RefusalContext): number {
     const mostMs = leftMs * SPREAD_SHARE;
     const lateMs = Math.min(MAX_SPREAD_MS, Math.max(MIN_SPREAD_MS, mostMs));
     const isLasting = overloadMs > LASTING_WAITS * lateMs;
--- a/test/mesh/admissionPolicy.test.ts
+++ b/test/mesh/admissionPolicy.test.ts
@@ -118,16 +118,16 @@
     });
 
     it("brings callers back while the mean answer is within the latency objective in a lasting overload", () => {
-        const patience = { leftMs: 6000, slackMs: 700, overloadMs: 9000 };
+        const context = { leftMs: 6000, slackMs: 700, overloadMs: 9000 };
         for (let index = 0; index < 50; index++) {
-            expect(retryAfterMs("overload", patience, () => index / 50)).to.be.within(100, 700);
+            expect(retryAfterMs("overload", context, () => index / 50)).to.be.within(100, 700);
         }
     });
 
     it("brings callers back late at the beginning of an overload, when it may have passed", () => {
-        const patience = { leftMs: 6000, slackMs: 700, overloadMs: 1000 };
+        const context = { leftMs: 6000, slackMs: 700, overloadMs: 1000 };
         for (let index = 0; index < 50; index++) {
-            expect(retryAfterMs("overload", patience, () => index / 50)).to.be.within(600, 1500);
+            expect(retryAfterMs("overload", context, () => index / 50)).to.be.within(600, 1500);
         }
     });
 });
--- a/test/support/overloadModel.ts
+++ b/test/support/overloadModel.ts
@@ -222,8 +222,8 @@
         const leftMs = startedAt + kind.deadlineMs - this.now;
         const slackMs = kind.objectiveMs - this.latencies.meanMs(kind.name);
         const overloadMs = this.overloads.note(kind.name, this.now);
-        const patience = { leftMs, slackMs, overloadMs };
-        const waitMs = retryAfterMs("overload", patience, () => this.uniform());
+        const context = { leftMs, slackMs, overloadMs };
+        const waitMs = retryAfterMs("overload", context, () => this.uniform());
         this.at(waitMs, () => this.enter(kind, startedAt, true));
     }
 
