Take the ports of test processes below the range of outgoing connections

With the log of the nodes shown, 3 of 10 runs at the same time failed, each with "listen EADDRINUSE": a port that had just been free was taken by an outgoing connection, or by another test, before the process listened there. The failures before the logs were kept are taken to have had the same cause, which is not shown for them.

--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -1,29 +1,18 @@
 /** Starts programs of the built binary as separate processes on free loopback ports, and ends them by id. */
 import type { ChildProcess } from "node:child_process";
 import { spawn } from "node:child_process";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { request } from "undici";
+import { fixedPort } from "./fixedPorts.ts";
+
+export { fixedPort as freePort };
 
 export const BINARY = new URL("../../dist/filbertspool", import.meta.url).pathname;
 const POLL_MS = 50;
 /** Bounds a wait so that a broken path fails the test and does not hang the runner. */
 const POLL_LIMIT = 400;
 
-/** A loopback port that was free a moment ago. */
-export function freePort(): Promise<number> {
-    return new Promise((resolve, reject) => {
-        const server = createServer();
-        server.once("error", reject);
-        server.listen(0, "127.0.0.1", () => {
-            const { port } = server.address() as AddressInfo;
-            server.close(() => resolve(port));
-        });
-    });
-}
-
 export async function freeAddress(): Promise<string> {
-    return `127.0.0.1:${await freePort()}`;
+    return `127.0.0.1:${await fixedPort()}`;
 }
 
 export interface Finished {
