--- a/src/policy/entryCutoff.ts
+++ b/src/policy/entryCutoff.ts
@@ -3,8 +3,8 @@
  * tell their cut-offs as they change, so the entry follows within a tick and a hop, however deep the chain is.
  *
  * The cut-offs of a service's targets are combined as shares of the demand that they admit, weighted by what each
- * target serves where that is known. A mean of the levels themselves would let one target without a cut-off, whose level lies far above
- * those of all requests, undo the cut-offs of the others.
+ * target serves where that is known. A mean of the levels themselves would let one target without a cut-off, whose
+ * level lies far above those of all requests, undo the cut-offs of the others.
  */
 import { BUCKETS, MAX_LEVEL } from "./level.ts";
 
@@ -103,7 +103,7 @@
     return Math.min(PRIORITIES - 1, Math.floor(level / BUCKETS));
 }
 
-/** Requests that each target serves in a time; equal unless all have told, as where requests for others pass. */
+/** Rate at which each target serves requests, per ms; equal weights unless all targets have told theirs. */
 function weightsOf(targets: readonly CutoffSource[]): readonly number[] {
     const rates = targets.map(({ report }) =>
         report === undefined || report.serviceMs === 0 ? 0 : report.limit / report.serviceMs
