Handle pipelined idempotent requests of a connection at the same time

A non-idempotent request starts only when all earlier responses have been sent. A handler that throws gets its request a 500 response instead of ending the process. A stopping node also waits for responses that clients have not read.

--- a/src/mesh/call.ts
+++ b/src/mesh/call.ts
@@ -4,7 +4,7 @@
 import type { HttpMessage } from "../http/messageReader.ts";
 import type { KnownNode } from "./nodeDirectory.ts";
 import type { Run } from "./runner.ts";
-import type { Outcome, Route } from "./types.ts";
+import type { Outcome, RefusalReason, Route } from "./types.ts";
 
 export interface Call {
     readonly req: HttpMessage<RequestHead>;
@@ -39,6 +39,26 @@
     isDone: boolean;
 }
 
+type CallFields = Pick<
+    Call,
+    "req" | "route" | "service" | "parent" | "isTraced" | "level" | "startedAt" | "deadlineAt" | "respond"
+>;
+
+/** Creates the state of a call that has had no attempt yet. */
+export function createCall(fields: CallFields): Call {
+    return {
+        ...fields,
+        triedNodes: [],
+        deadlineTimer: undefined,
+        attempts: 0,
+        refusedAttempts: 0,
+        mayHaveRun: false,
+        cancelAttempt: undefined,
+        cancelEarlierAttempt: undefined,
+        isDone: false,
+    };
+}
+
 /**
  * Whether the load balancer should avoid a target for a while after an outcome: the connection was lost, or the request
  * was not executed for a reason that concerns more than this request, e.g. the target is down, draining or of another
@@ -66,3 +86,7 @@
 export function maxTargetWaitMs(call: Call): number {
     return Math.min(MAX_TARGET_WAIT_MS, call.route.latencyObjectiveMs * TARGET_WAIT_SHARE_OF_OBJECTIVE);
 }
+
+export function refusalReasonOf(outcome: Outcome): RefusalReason | undefined {
+    return outcome.kind === "not-run" ? outcome.reason : undefined;
+}
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -17,7 +17,7 @@
 import type { RouteDependencies, RouteDependencyMap } from "../policy/routeDependencies.ts";
 import { RouteLatencies } from "../policy/routeLatency.ts";
 import { findRoute, TrafficSplitter } from "../policy/routeTable.ts";
-import { maxTargetWaitMs } from "./call.ts";
+import { createCall, maxTargetWaitMs, refusalReasonOf } from "./call.ts";
 import type { Call } from "./call.ts";
 import { CallLog } from "./callLog.ts";
 import { steadyNow } from "./clock.ts";
@@ -49,6 +49,8 @@
 }
 
 const DEFAULT_DEADLINE_MS = 30_000;
+/** Timers of Node.js with a longer delay than 2^31 - 1 ms would fire at once. */
+const MAX_DEADLINE_MS = 24 * 3600 * 1000;
 const NO_CONFIG_REFUSAL_CONTEXT = { leftMs: DEFAULT_DEADLINE_MS, slackMs: 0, overloadDurationMs: 0 };
 const MAX_REQUEST_ID_BYTES = 255;
 const TARGET_POLL_INTERVAL_MS = 25;
@@ -86,10 +88,14 @@
     }
 
     /**
-     * Handles a request. Returns a function that must be called if the caller disconnects before the response, or
-     * `undefined` if the response has been sent already.
+     * Handles a request that arrived at `arrivedAt` (`steadyNow()` time in ms). Returns a function that must be called
+     * if the caller disconnects before the response, or `undefined` if the response has been sent already.
      */
-    handle(req: HttpMessage<RequestHead>, respond: SendResponse): (() => void) | undefined {
+    handle(
+        req: HttpMessage<RequestHead>,
+        respond: SendResponse,
+        arrivedAt = steadyNow(),
+    ): (() => void) | undefined {
         const cfg = this.options.config();
         if (cfg === undefined) {
             respond(refusalResponse("no-config", NO_CONFIG_REFUSAL_CONTEXT, this.rand));
@@ -105,34 +111,37 @@
             respond(emptyResponse(404));
             return undefined;
         }
-        const call = this.createCall(req, route, respond);
+        const call = this.createCall({ req, route, respond, arrivedAt });
         return this.admit(call) ? () => this.onCallerGone(call) : undefined;
     }
 
-    private createCall(req: HttpMessage<RequestHead>, route: Route, respond: SendResponse): Call {
-        const now = steadyNow();
+    /** Whether a request belongs to an idempotent route, so that it may run although its response gets lost. */
+    isIdempotent(head: RequestHead): boolean {
+        const cfg = this.options.config();
+        return cfg !== undefined && findRoute(cfg, head.host, head.path)?.isIdempotent === true;
+    }
+
+    private createCall(
+        { req, route, respond, arrivedAt }: Pick<Call, "req" | "route" | "respond"> & { arrivedAt: number; },
+    ): Call {
         const parent = this.findParent(req.head.requestId);
-        const deadlineMs = Math.min(req.head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
+        const deadlineMs = Math.min(
+            req.head.deadlineMs ?? DEFAULT_DEADLINE_MS,
+            route.timeoutMs,
+            MAX_DEADLINE_MS,
+        );
         this.options.counters.countRequest(route.name);
-        return {
+        return createCall({
             req,
             route,
             service: this.trafficSplitter.chooseService(route),
             parent,
             isTraced: this.options.log.isTraced(req.head.requestId),
             level: parent?.level ?? levelOf(route.priority, req.head.requestId),
-            startedAt: now,
-            deadlineAt: Math.min(now + deadlineMs, parent?.deadlineAt ?? Infinity),
+            startedAt: arrivedAt,
+            deadlineAt: Math.min(arrivedAt + deadlineMs, parent?.deadlineAt ?? Infinity),
             respond,
-            triedNodes: [],
-            deadlineTimer: undefined,
-            attempts: 0,
-            refusedAttempts: 0,
-            mayHaveRun: false,
-            cancelAttempt: undefined,
-            cancelEarlierAttempt: undefined,
-            isDone: false,
-        };
+        });
     }
 
     /**
@@ -149,6 +158,7 @@
      * breaker. Returns whether the call is still in progress.
      */
     private admit(call: Call): boolean {
+        const now = steadyNow();
         this.activeCalls++;
         this.recordDependency(call);
         if (call.parent === undefined) {
@@ -157,19 +167,19 @@
                 this.refuse(call, "stopping");
                 return false;
             }
-            this.options.retryBudget.recordRequest(call.service, call.startedAt);
+            this.options.retryBudget.recordRequest(call.service, now);
             this.entryCutoffs.recordRequest(call.level);
-            const cutoff = this.cutoffFor(call, call.startedAt);
+            const cutoff = this.cutoffFor(call, now);
             if (call.level > cutoff) {
                 this.refuse(call, "overload", cutoff);
                 return false;
             }
-            if (!this.circuitBreaker.isAdmitted(call.route.name, call.startedAt, this.rand)) {
+            if (!this.circuitBreaker.isAdmitted(call.route.name, now, this.rand)) {
                 this.refuse(call, "failing-below");
                 return false;
             }
         }
-        const leftMs = Math.max(0, call.deadlineAt - call.startedAt);
+        const leftMs = Math.max(0, call.deadlineAt - now);
         // Node.js keeps timers of equal duration in one list; rounding the durations lets most timers share a list.
         call.deadlineTimer = setTimeout(
             () => this.onTimeout(call),
@@ -181,11 +191,8 @@
     }
 
     private cutoffFor(call: Call, now: number): number {
-        const serviceCutoff = this.entryCutoffs.cutoffOf(call.service, now);
-        return Math.min(
-            serviceCutoff,
-            this.entryCutoffs.lowestCutoffOf(this.options.dependencies.servicesOf(call.route.name), now),
-        );
+        const dependencies = this.options.dependencies.servicesOf(call.route.name);
+        return this.entryCutoffs.lowestCutoffOf([call.service, ...dependencies], now);
     }
 
     /** Adds the called service and the dependencies of the call's route to those of the parent's route. */
@@ -193,11 +200,8 @@
         if (call.parent === undefined) return;
         const { route } = call.parent.req;
         const { dependencies } = this.options;
-        const hasNewDirect = dependencies.add(route, [call.service]);
-        const hasNewTransitive = dependencies.add(route, dependencies.servicesOf(call.route.name));
-        if (hasNewDirect || hasNewTransitive) {
-            this.options.onNewDependency({ route, services: dependencies.servicesOf(route) });
-        }
+        const isNew = dependencies.add(route, [call.service, ...dependencies.servicesOf(call.route.name)]);
+        if (isNew) this.options.onNewDependency({ route, services: dependencies.servicesOf(route) });
     }
 
     private startAttempt(call: Call, lastReason: RefusalReason = "no-target"): void {
@@ -394,7 +398,3 @@
         clearTimeout(call.deadlineTimer);
     }
 }
-
-function refusalReasonOf(outcome: Outcome): RefusalReason | undefined {
-    return outcome.kind === "not-run" ? outcome.reason : undefined;
-}
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -7,6 +7,7 @@
 import { RetryBudget } from "../policy/retryBudget.ts";
 import type { RetryBudgetOptions } from "../policy/retryBudget.ts";
 import { RouteDependencyMap } from "../policy/routeDependencies.ts";
+import { toServerLimits } from "./clientLimits.ts";
 import { steadyNow } from "./clock.ts";
 import type { ControlStore } from "./controlStore.ts";
 import { Counters } from "./counters.ts";
@@ -22,7 +23,7 @@
 import { Runner } from "./runner.ts";
 import { TargetRegistration } from "./targetRegistration.ts";
 import type { Announcement } from "./targetRegistration.ts";
-import type { ClientLimits, MeshConfig, NodeRecord, TargetRecord } from "./types.ts";
+import type { MeshConfig, NodeRecord, TargetRecord } from "./types.ts";
 
 export interface HostPort {
     readonly host: string;
@@ -51,12 +52,6 @@
 
 const TICK_MS = 100;
 const TICKS_PER_SECOND = 10;
-const DEFAULT_CLIENT_LIMITS: ClientLimits = {
-    maxHeaderBytes: 16 * 1024,
-    maxBodyBytes: 64 * 1024 * 1024,
-    headerTimeoutMs: 3000,
-    idleTimeoutMs: 15_000,
-};
 /** A stopping node runs at least this long, since clients send to it until two readiness checks have failed. */
 const MIN_SHUTDOWN_MS = 2300;
 /**
@@ -143,9 +138,11 @@
         });
         this.clientServer = new HttpServer({
             ...options.outbound,
-            handler: (req, respond) => this.forwarder.handle(req, respond),
+            handler: (req, respond, arrivedAt) => this.forwarder.handle(req, respond, arrivedAt),
+            isPipelinable: head => this.forwarder.isIdempotent(head),
+            onHandlerError: err => options.log.event("request-error", { cause: String(err) }),
             parseHead: options.protocol.parseRequest,
-            limits: () => toServerLimits(this.config?.limits ?? DEFAULT_CLIENT_LIMITS),
+            limits: () => toServerLimits(this.config?.limits),
             isClosing: () => this.stoppingSince !== undefined,
         });
         this.peerServer = new PeerServer({
@@ -240,7 +237,8 @@
         return new Promise(resolve => {
             const timer = setInterval(() => {
                 const elapsed = steadyNow() - this.stoppingSince!;
-                const isIdle = this.forwarder.activeCount === 0 && this.runner.activeCount === 0;
+                const isIdle = this.forwarder.activeCount === 0 && this.runner.activeCount === 0
+                    && this.clientServer.pendingCount === 0;
                 const mustEnd = elapsed > this.options.graceMs - SHUTDOWN_RESERVE_MS;
                 if (!mustEnd && !(isIdle && elapsed > MIN_SHUTDOWN_MS)) return;
                 clearInterval(timer);
@@ -384,17 +382,3 @@
     return one?.id === other?.id && one?.service === other?.service && one?.state === other?.state
         && one?.slots === other?.slots && one?.bornAt === other?.bornAt;
 }
-
-function toServerLimits(limits: ClientLimits): {
-    maxHeadBytes: number;
-    maxBodyBytes: number;
-    headerTimeoutMs: number;
-    idleTimeoutMs: number;
-} {
-    return {
-        maxHeadBytes: limits.maxHeaderBytes,
-        maxBodyBytes: limits.maxBodyBytes,
-        headerTimeoutMs: limits.headerTimeoutMs,
-        idleTimeoutMs: limits.idleTimeoutMs,
-    };
-}
--- a/test/support/meshFixtures.ts
+++ b/test/support/meshFixtures.ts
@@ -1,4 +1,5 @@
 /** Creates data plane objects for tests; fields that a test does not give get default values. */
+import { createCall } from "../../src/mesh/call.ts";
 import type { Call } from "../../src/mesh/call.ts";
 import type { ForwardedRequest, MeshConfig, Route } from "../../src/mesh/types.ts";
 
@@ -54,7 +55,7 @@
         headers,
         framing: { kind: "length", bytes: body.length },
     } as const;
-    return {
+    return createCall({
         req: { head, body: Buffer.from(body) },
         route,
         service: "s",
@@ -64,15 +65,7 @@
         startedAt: 0,
         deadlineAt: 2000,
         respond: () => undefined,
-        triedNodes: [],
-        deadlineTimer: undefined,
-        attempts: 0,
-        refusedAttempts: 0,
-        mayHaveRun: false,
-        cancelAttempt: undefined,
-        cancelEarlierAttempt: undefined,
-        isDone: false,
-    };
+    });
 }
 
 export function makeForwardedRequest(fields: Partial<ForwardedRequest> = {}): ForwardedRequest {
