Keep odd records, configurations and messages from stopping a node

Cause: a node record with a port out of range threw in net.connect. Thrown while the records were read, it was taken for a failure of the store: the same records were read again without end and those behind it never; thrown in a reconnect timer it ended the process.

Change: addresses are IPv4 with a port from 1 to 65535, numbers are safe integers, a stored record must have the name of its key. An error in one record is logged and the next one is read. Versions are sent as doubles. A configuration with a route without a service is rejected with the path of the route; the version before stays in force. Malformed peer messages close their connection only. Any other unexpected error is logged.

--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -28,7 +28,7 @@
 import type { LatencySamples } from "./latencySamples.ts";
 import { emptyResponse, refusalResponse } from "./localResponses.ts";
 import type { Run } from "./runner.ts";
-import type { FailureReason, MeshConfig, Outcome, RefusalReason, Route } from "./types.ts";
+import type { FailureReason, MeshConfig, Outcome, RefusalReason } from "./types.ts";
 
 export interface ForwarderOptions extends
     Pick<
--- a/src/mesh/frameSocket.ts
+++ b/src/mesh/frameSocket.ts
@@ -6,7 +6,7 @@
 import type { JSONRPCServer } from "json-rpc-2.0";
 import type net from "node:net";
 import { steadyNow } from "./clock.ts";
-import { encodeRpc, encodeSignal, FrameError, FrameReader } from "./frames.ts";
+import { encodePong, encodeRpc, encodeSignal, FrameError, FrameReader } from "./frames.ts";
 import type { Frame } from "./frames.ts";
 
 /** Frames about requests and admission. The socket itself handles pings, pongs and JSON-RPC messages. */
@@ -21,6 +21,8 @@
     readonly onClose: () => void;
     /** Returns this node's configuration version, which is sent in response to pings. */
     readonly configVersion: () => number;
+    /** Called with what was wrong before the connection is closed because of malformed bytes or an unexpected error. */
+    readonly onError?: (err: unknown) => void;
     /** Called with the other node's configuration version. */
     readonly onConfigVersion?: (version: number) => void;
 }
@@ -110,7 +112,8 @@
             }
         }
         catch (err) {
-            if (!(err instanceof FrameError)) throw err;
+            // Whatever one connection sends must not end the process: this closes only the connection.
+            this.options.onError?.(err);
             this.destroy();
         }
     }
@@ -118,10 +121,10 @@
     private handleFrame(frame: Frame): void {
         switch (frame.type) {
             case "ping":
-                this.write(encodeSignal("pong", this.options.configVersion()));
+                this.write(encodePong(this.options.configVersion()));
                 return;
             case "pong":
-                this.options.onConfigVersion?.(frame.stream);
+                this.options.onConfigVersion?.(frame.configVersion);
                 return;
             case "rpc":
                 this.receiveRpc(frame.message);
@@ -136,16 +139,13 @@
     }
 
     private receiveRpc(message: string): void {
-        let payload: unknown;
-        try {
-            payload = JSON.parse(message);
-        }
-        catch {
-            this.destroy();
-            return;
-        }
+        const payload: unknown = JSON.parse(message);
+        if (!isRpcMessage(payload)) throw new FrameError("not a JSON-RPC message");
         this.rpc.receiveAndSend(payload as Parameters<JSONRPCServerAndClient["receiveAndSend"]>[0]).catch(
-            () => this.destroy(),
+            (err: unknown) => {
+                this.options.onError?.(err);
+                this.destroy();
+            },
         );
     }
 
@@ -156,3 +156,10 @@
         this.options.onClose();
     }
 }
+
+/** Messages that the JSON-RPC library would reject are rejected here, since it prints them. */
+function isRpcMessage(payload: unknown): boolean {
+    if (typeof payload !== "object" || payload === null) return false;
+    const { jsonrpc, method, id } = payload as Readonly<Record<string, unknown>>;
+    return jsonrpc === "2.0" && (typeof method === "string" || typeof id === "number");
+}
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -22,8 +22,8 @@
     | { readonly type: "silent"; readonly stream: number; }
     /** Belongs to no request: `stream` is 0. */
     | { readonly type: "ping"; readonly stream: number; }
-    /** Response to a ping. Belongs to no request: `stream` is the sender's configuration version. */
-    | { readonly type: "pong"; readonly stream: number; }
+    /** Response to a ping, and sent when the configuration has changed. Belongs to no request. */
+    | { readonly type: "pong"; readonly configVersion: number; }
     | { readonly type: "rpc"; readonly message: string; };
 
 export class FrameError extends Error {
@@ -43,7 +43,7 @@
 const SILENT = 8;
 
 /** Types of the frames that consist of the header only. */
-const SIGNALS = { cancel: CANCEL, ping: PING, pong: PONG, cutoff: CUTOFF, silent: SILENT } as const;
+const SIGNALS = { cancel: CANCEL, ping: PING, cutoff: CUTOFF, silent: SILENT } as const;
 
 const OUTCOME_RESPONSE = 0;
 const OUTCOME_NOT_RUN = 1;
@@ -105,14 +105,14 @@
 
 export function encodeResponse(stream: number, outcome: Outcome, load: LoadReport): Buffer {
     const outcomeBytes = outcome.kind === "answer" ? 6 + outcome.headers.length + outcome.body.length : 1;
-    const buf = Buffer.allocUnsafe(HEADER_BYTES + 19 + outcomeBytes);
+    const buf = Buffer.allocUnsafe(HEADER_BYTES + 23 + outcomeBytes);
     let offset = writeHeader(buf, RESPONSE, stream);
     offset = buf.writeUInt16BE(load.cutoff, offset);
     offset = buf.writeUInt16BE(Math.min(load.running, 0xffff), offset);
     offset = buf.writeUInt16BE(Math.min(load.queued, 0xffff), offset);
     offset = buf.writeUInt16BE(Math.min(load.limit, 0xffff), offset);
     offset = buf.writeUInt32BE(clampToUint32(load.serviceMs * 100), offset);
-    offset = buf.writeUInt32BE(load.configVersion, offset);
+    offset = buf.writeDoubleBE(load.configVersion, offset);
     switch (outcome.kind) {
         case "answer":
             buf[offset] = OUTCOME_RESPONSE;
@@ -131,12 +131,17 @@
     }
 }
 
-/** Encodes a frame that consists of the header only. In `cutoff` and `pong` frames, `stream` is their value. */
+/** Encodes a frame that consists of the header only. In `cutoff` frames, `stream` is their value. */
 export function encodeSignal(type: keyof typeof SIGNALS, stream: number): Buffer {
     const buf = Buffer.allocUnsafe(HEADER_BYTES);
     return finishFrame(buf, writeHeader(buf, SIGNALS[type], stream));
 }
 
+export function encodePong(configVersion: number): Buffer {
+    const buf = Buffer.allocUnsafe(HEADER_BYTES + 8);
+    return finishFrame(buf, buf.writeDoubleBE(configVersion, writeHeader(buf, PONG, 0)));
+}
+
 export function encodeRpc(message: string): Buffer {
     const text = Buffer.from(message, "utf8");
     const buf = Buffer.allocUnsafe(HEADER_BYTES + text.length);
@@ -200,7 +205,7 @@
         case PING:
             return { type: "ping", stream };
         case PONG:
-            return { type: "pong", stream };
+            return { type: "pong", configVersion: new FieldReader(buf, HEADER_BYTES).double() };
         case RPC:
             return { type: "rpc", message: buf.toString("utf8", HEADER_BYTES, buf.length) };
         default:
@@ -258,7 +263,7 @@
         queued: fields.uint16(),
         limit: fields.uint16(),
         serviceMs: fields.uint32() / 100,
-        configVersion: fields.uint32(),
+        configVersion: fields.double(),
     };
     return { type: "response", stream, load, outcome: decodeOutcome(fields) };
 }
@@ -297,6 +302,10 @@
         return this.buf.readUInt32BE(this.advance(4));
     }
 
+    double(): number {
+        return this.buf.readDoubleBE(this.advance(8));
+    }
+
     text(): string {
         return this.latin1(this.uint32());
     }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -23,7 +23,7 @@
 import { Runner } from "./runner.ts";
 import { TargetRegistration } from "./targetRegistration.ts";
 import type { Announcement } from "./targetRegistration.ts";
-import type { MeshConfig, NodeRecord, TargetRecord } from "./types.ts";
+import type { ConfigResult, MeshConfig, NodeRecord, TargetRecord } from "./types.ts";
 
 export interface HostPort {
     readonly host: string;
@@ -43,7 +43,7 @@
     /** Time in ms from the stop signal until the process is killed. */
     readonly graceMs: number;
     readonly store: ControlStore;
-    readonly decodeConfig: (encoded: Buffer) => MeshConfig | undefined;
+    readonly decodeConfig: (encoded: Buffer) => ConfigResult;
     readonly log: EventLog;
     readonly protocol: TargetProtocol;
     /** Unix time in ms at which the process started. */
@@ -152,6 +152,7 @@
             isRefusingRuns: () => this.isRefusingRuns,
             rpcServer: this.peers.rpcServer,
             onConnected: frameSocket => this.peers.sendHello(frameSocket),
+            onError: err => options.log.event("peer-error", { cause: String(err) }),
         });
     }
 
@@ -361,11 +362,12 @@
     }
 
     private onConfig(encoded: Buffer, from: string): void {
-        const config = this.options.decodeConfig(encoded);
-        if (config === undefined) {
-            this.options.log.event("config-unreadable", { from, bytes: encoded.length });
+        const result = this.options.decodeConfig(encoded);
+        if (!result.success) {
+            this.options.log.event("config-unreadable", { from, bytes: encoded.length, ...result.issue });
             return;
         }
+        const { config } = result;
         if (this.config !== undefined && config.version <= this.config.version) return;
         this.config = config;
         this.forwarder.onNewConfig();
--- a/src/mesh/nodeDirectory.ts
+++ b/src/mesh/nodeDirectory.ts
@@ -3,28 +3,40 @@
  * store, from the node itself and from other nodes. The record with the latest start time, then the highest serial
  * number, is kept; `upsert` makes one exception for a node whose clock was set back.
  */
+import { isIPv4 } from "node:net";
 import * as v from "valibot";
 import { MAX_LEVEL } from "../policy/admissionLevel.ts";
 import type { Candidate } from "../policy/loadBalancer.ts";
 import type { LoadReport, NodeRecord } from "./types.ts";
 
+const MAX_PORT = 65_535;
 const shortTextSchema = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
 
+/** An IPv4 address and a port: with any other one, opening a connection throws or looks up a name. */
+const addressSchema = v.pipe(v.string(), v.check(isIpv4Address, "must be an IPv4 address and a port"));
+const safeCountSchema = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
+
 const nodeRecordSchema = v.object({
     name: shortTextSchema,
-    address: v.pipe(v.string(), v.regex(/^[0-9.]+:[0-9]{1,5}$/)),
+    address: addressSchema,
     dataCentre: shortTextSchema,
-    startedAt: v.pipe(v.number(), v.integer()),
-    serial: v.pipe(v.number(), v.integer()),
+    startedAt: safeCountSchema,
+    serial: safeCountSchema,
     target: v.optional(v.object({
         id: shortTextSchema,
         service: shortTextSchema,
         state: v.picklist(["ready", "draining", "gone"]),
         slots: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000)),
-        bornAt: v.pipe(v.number(), v.integer()),
+        bornAt: safeCountSchema,
     })),
 });
 
+function isIpv4Address(address: string): boolean {
+    const [host, port, ...rest] = address.split(":");
+    return rest.length === 0 && isIPv4(host!) && /^[1-9][0-9]{0,4}$/.test(port ?? "")
+        && Number(port) <= MAX_PORT;
+}
+
 export function safeParseNodeRecord(input: unknown): NodeRecord | undefined {
     const result = v.safeParse(nodeRecordSchema, input);
     return result.success ? { ...result.output, target: result.output.target } : undefined;
--- a/src/mesh/peerLink.ts
+++ b/src/mesh/peerLink.ts
@@ -21,6 +21,7 @@
     readonly onCutoff: (cutoff: number) => void;
     readonly configVersion: () => number;
     readonly onConfigVersion: (version: number) => void;
+    readonly onError: (err: unknown) => void;
 }
 
 const CONNECT_TIMEOUT_MS = 500;
@@ -118,6 +119,7 @@
             onClose: () => this.onClose(),
             configVersion: this.options.configVersion,
             onConfigVersion: this.options.onConfigVersion,
+            onError: this.options.onError,
         });
         this.options.onConnected(this);
     }
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -17,6 +17,7 @@
     /** Handles the JSON-RPC messages of all connections. */
     readonly rpcServer: JSONRPCServer;
     readonly onConnected: (frameSocket: FrameSocket) => void;
+    readonly onError: (err: unknown) => void;
 }
 
 class PeerConnection {
@@ -30,6 +31,7 @@
             rpcServer: options.rpcServer,
             onFrame: frame => this.onFrame(frame),
             configVersion: options.configVersion,
+            onError: options.onError,
             onClose: () => {
                 for (const run of this.runs.values()) options.runner.cancel(run);
                 this.runs.clear();
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -35,6 +35,7 @@
 
 /** Time for the store to deliver a new configuration before it is fetched from a node that has it. */
 const CONFIG_FETCH_DELAY_MS = 300;
+const MAX_LOGGED_KEY_LENGTH = 100;
 const NODE_LIST_REQUEST_INTERVAL_MS = 500;
 /** A node that knows no more nodes than this, itself included, requests the other node's list on a new connection. */
 const MAX_KNOWN_NODES_FOR_LIST_REQUEST = 2;
@@ -101,7 +102,10 @@
     /** Handles a node's record in the store; `input` is `undefined` when the record was removed. */
     onStoredRecord(name: string, input: unknown): void {
         if (input !== undefined) {
-            this.applyRecord(input, "store");
+            const record = safeParseNodeRecord(input);
+            // A record under the key of another node was not written by the node that it describes.
+            if (record?.name === name) this.applyRecord(record, "store");
+            else this.options.log.event("node-unreadable", { key: name.slice(0, MAX_LOGGED_KEY_LENGTH) });
             return;
         }
         const node = this.directory.get(name);
@@ -195,6 +199,8 @@
             rpcServer: this.rpcServer,
             configVersion: this.options.configVersion,
             onConfigVersion: version => this.onPeerConfigVersion(node, version),
+            onError: err =>
+                this.options.log.event("peer-error", { name: node.record.name, cause: String(err) }),
             onCutoff: cutoff => {
                 node.cutoff = cutoff;
             },
--- a/src/mesh/types.ts
+++ b/src/mesh/types.ts
@@ -18,10 +18,7 @@
     readonly priority: number;
     /** Maximum number of attempts that may reach a target, the first included. */
     readonly maxAttempts: number;
-    /**
-     * One entry, or several among which traffic is split by weight. Empty if the configuration names no service;
-     * `TrafficSplitter.chooseService` throws for such a route.
-     */
+    /** One entry, or several among which traffic is split by weight. Never empty. */
     readonly services: readonly WeightedService[];
 }
 
@@ -51,6 +48,18 @@
     readonly encoded: Buffer;
 }
 
+/** A decoded configuration, or what is wrong with it. `path` is that of the invalid field, with dots. */
+export type ConfigResult =
+    | { readonly success: true; readonly config: MeshConfig; }
+    | { readonly success: false; readonly issue: ConfigIssue; };
+
+export interface ConfigIssue {
+    readonly code: "not-json" | "invalid-field" | "no-service";
+    /** Empty if the whole configuration is meant. */
+    readonly path: string;
+    readonly message: string;
+}
+
 /** A target announces `ready` or `draining`. Its node sets `gone` when the target deregisters. */
 export type TargetState = "ready" | "draining" | "gone";
 
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -6,7 +6,7 @@
     parseTracedIdPrefixes,
     SettingsError,
 } from "../../platform/settings.ts";
-import { decodeConfig } from "../../platform/wireConfig.ts";
+import { ConfigError, decodeConfig, safeDecodeConfig } from "../../platform/wireConfig.ts";
 import { lengthMatchesSeal } from "../../platform/wireHeaders.ts";
 import { wireConfig, wireRoute } from "../support/platformMesh.ts";
 
@@ -87,7 +87,7 @@
             wireRoute({ path_prefix: "/a/" }),
             wireRoute({ path_prefix: "/a/b/", kind: "unsafe", service: undefined, traffic_split: split }),
         ];
-        const config = decodeConfig(Buffer.from(JSON.stringify(wireConfig(12, paths))))!;
+        const config = decodeConfig(Buffer.from(JSON.stringify(wireConfig(12, paths))));
         expect(config.version).to.equal(12);
         const [first, second] = config.routesByHost.get("shop.example")!;
         expect(first).to.include({ pathPrefix: "/a/b/", isIdempotent: false });
@@ -104,8 +104,26 @@
             JSON.stringify({ ...wireConfig(1), version: 3 }),
             JSON.stringify(wireConfig(1, [wireRoute({ timeout: 300 })])),
             JSON.stringify(wireConfig(1, [wireRoute({ path_prefix: "a" })])),
+            JSON.stringify(wireConfig(1, [wireRoute({ priority: 1e300 })])),
+            JSON.stringify(wireConfig(1)).replace("\"priority\":1", "\"priority\":1e400"),
         ];
-        for (const text of invalidConfigs) expect(decodeConfig(Buffer.from(text)), text).to.equal(undefined);
+        for (const text of invalidConfigs) {
+            expect(safeDecodeConfig(Buffer.from(text)).success, text.slice(0, 60)).to.equal(false);
+            expect(() => decodeConfig(Buffer.from(text))).to.throw(ConfigError);
+        }
+    });
+
+    it("rejects a route without a service with the path of the route", () => {
+        const split = (services: readonly unknown[]) =>
+            wireRoute({ service: undefined, traffic_split: services });
+        for (const route of [wireRoute({ service: undefined }), split([])]) {
+            const config = Buffer.from(JSON.stringify(wireConfig(1, [wireRoute(), route])));
+            const result = safeDecodeConfig(config);
+            expect(result.success ? undefined : result.issue).to.include({
+                code: "no-service",
+                path: "virtual_hosts.0.paths.1",
+            });
+        }
     });
 
     it("compares the body with the length in the seal if the seal contains one", () => {
