Treat repeated responses and requests read after a pause as what they are

Cause: a response without a request id counted as the response to the current request, also on a kept connection, where it may be a late copy. A copied refusal let a non-idempotent request that was running be sent to a second target. A request that had waited in the kernel while the process was paused got its whole time again, so it ran after its caller had given up.

Change: on a kept connection a response without an id is unusable, and its connection is closed. What is read right after a pause counts as arrived at its beginning; a client request whose deadline has passed is refused as not run.

--- a/src/http/clientConnection.ts
+++ b/src/http/clientConnection.ts
@@ -62,7 +62,8 @@
     private waitingRequest: HttpMessage<RequestHead> | undefined;
     /** Status of the response to a malformed request, which is sent after those to the requests before it. */
     private errorStatus: number | undefined;
-    private lastReadAt = steadyNow();
+    /** Arrival of the latest bytes, see `RequestHandler`. */
+    private arrivedAt = steadyNow();
     private hasSentContinue = false;
     private isAccepting = false;
     private isAcceptScheduled = false;
@@ -106,9 +107,10 @@
     private onSocketData(chunk: Buffer): void {
         if (this.isClosing || this.errorStatus !== undefined) return;
         const wasIdle = !this.reader.isMidMessage;
-        this.lastReadAt = steadyNow();
+        const now = steadyNow();
+        this.arrivedAt = now - (this.options.pauseMs?.() ?? 0);
         // The header timeout is measured from the first byte of a head, the idle timeout from the latest body bytes.
-        if (wasIdle || this.reader.pendingHead !== undefined) this.timeoutStartedAt = this.lastReadAt;
+        if (wasIdle || this.reader.pendingHead !== undefined) this.timeoutStartedAt = now;
         this.reader.feed(chunk);
         this.acceptRequests();
     }
@@ -175,7 +177,7 @@
         this.exchanges.push(exchange);
         const sendResponse = (response: HttpResponse) => this.onResponse(exchange, response);
         try {
-            const onDisconnect = this.options.handler(request, sendResponse, this.lastReadAt);
+            const onDisconnect = this.options.handler(request, sendResponse, this.arrivedAt);
             if (exchange.response === undefined) exchange.onDisconnect = onDisconnect;
         }
         catch (err) {
--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -13,8 +13,8 @@
 
 export type SendResponse = (response: HttpResponse) => void;
 /**
- * Handles a request. `arrivedAt` is the `steadyNow()` time in ms at which its last bytes arrived at the latest. The
- * handler may return a function, which is called if the client disconnects before the response is sent.
+ * Handles a request. `arrivedAt` is the `steadyNow()` time in ms at which its last bytes were read or, if the process
+ * was paused before that, the earliest time at which they may have arrived. The handler may return a function, which is called if the client disconnects before the response is sent.
  */
 export type RequestHandler = (
     req: HttpMessage<RequestHead>,
@@ -45,6 +45,8 @@
      * sent. By default, requests of a connection are handled one after the other.
      */
     readonly isPipelinable?: (head: RequestHead) => boolean;
+    /** Time in ms for which bytes that are read now may have waited, because the process was paused; 0 by default. */
+    readonly pauseMs?: () => number;
     /** Called with an unexpected error of the handler; the request gets a 500 response. */
     readonly onHandlerError?: (err: unknown) => void;
 }
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -163,8 +163,8 @@
         this.recordDependency(call);
         if (call.parent === undefined) {
             this.options.counters.clientRequests++;
-            if (this.options.isRefusingClients()) {
-                this.refuse(call, "stopping");
+            if (now >= call.deadlineAt || this.options.isRefusingClients()) {
+                this.refuse(call, now >= call.deadlineAt ? "deadline" : "stopping");
                 return false;
             }
             this.options.retryBudget.recordRequest(call.service, now);
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -17,6 +17,7 @@
 import { LoadLog } from "./loadLog.ts";
 import { safeParseNodeRecord } from "./nodeDirectory.ts";
 import type { NodeDirectory } from "./nodeDirectory.ts";
+import { PauseDetector } from "./pauseDetector.ts";
 import { Peers } from "./peers.ts";
 import { PeerServer } from "./peerServer.ts";
 import type { TargetProtocol } from "./protocol.ts";
@@ -75,6 +76,7 @@
     private readonly retryBudget: RetryBudget;
     private readonly registration: TargetRegistration;
     private readonly routeDependencies = new RouteDependencyMap();
+    private readonly pauseDetector = new PauseDetector(TICK_MS);
     private lastBroadcastCutoff = MAX_LEVEL;
     private config: MeshConfig | undefined;
     private service: string;
@@ -140,6 +142,7 @@
             ...options.outbound,
             handler: (req, respond, arrivedAt) => this.forwarder.handle(req, respond, arrivedAt),
             isPipelinable: head => this.forwarder.isIdempotent(head),
+            pauseMs: () => this.pauseDetector.pauseMs(steadyNow()),
             onHandlerError: err => options.log.event("request-error", { cause: String(err) }),
             parseHead: options.protocol.parseRequest,
             limits: () => toServerLimits(this.config?.limits),
@@ -153,6 +156,7 @@
             rpcServer: this.peers.rpcServer,
             onConnected: frameSocket => this.peers.sendHello(frameSocket),
             onError: err => options.log.event("peer-error", { cause: String(err) }),
+            pauseMs: () => this.pauseDetector.pauseMs(steadyNow()),
         });
     }
 
@@ -261,6 +265,7 @@
 
     private tick(): void {
         const now = steadyNow();
+        this.pauseDetector.tick(now);
         this.runner.tick(now);
         this.broadcastCutoff();
         this.peers.tick(now);
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -18,6 +18,8 @@
     readonly rpcServer: JSONRPCServer;
     readonly onConnected: (frameSocket: FrameSocket) => void;
     readonly onError: (err: unknown) => void;
+    /** Time in ms for which bytes that are read now may have waited, because the process was paused. */
+    readonly pauseMs: () => number;
 }
 
 class PeerConnection {
@@ -68,7 +70,11 @@
             return;
         }
         const onSilent = () => this.frameSocket.write(encodeSignal("silent", stream));
-        const run = this.options.runner.submit(req, { onDone: sendOutcome, onSilent });
+        const leftMs = Math.max(0, req.leftMs - this.options.pauseMs());
+        const run = this.options.runner.submit(leftMs === req.leftMs ? req : { ...req, leftMs }, {
+            onDone: sendOutcome,
+            onSilent,
+        });
         if (!isDone) this.runs.set(stream, run);
     }
 
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -10,6 +10,7 @@
 import type { EventLog } from "./eventLog.ts";
 import type { LatencySamples } from "./latencySamples.ts";
 import { RunLog } from "./runLog.ts";
+import { toOutcome } from "./runOutcome.ts";
 import { TargetConnectionPool } from "./targetConnectionPool.ts";
 import type { ExchangeResult, TargetConnectionPoolOptions, TargetExchange } from "./targetConnectionPool.ts";
 import type {
@@ -381,20 +382,3 @@
         }
     }
 }
-
-/** Without a seal by the target, a success is unusable, and so is a claim that a non-idempotent request did not run. */
-function toOutcome(
-    result: Exclude<ExchangeResult, { kind: "unreachable"; }>,
-    isIdempotent: boolean,
-): Outcome {
-    if (result.kind === "lost") return { kind: "unknown", reason: result.reason };
-    const { head, body } = result;
-    if (head.status === 421) return { kind: "not-run", reason: "wrong-instance" };
-    if (head.notExecuted) return { kind: "not-run", reason: "target-shed" };
-    if (head.status < 300 && head.seal === undefined) return { kind: "unknown", reason: "bad-answer" };
-    const claimsNotRun = head.status === 429 || head.status === 503 || head.status === 408;
-    if (claimsNotRun && !isIdempotent && head.seal === undefined) {
-        return { kind: "unknown", reason: "bad-answer" };
-    }
-    return { kind: "answer", status: head.status, headers: head.headers, body };
-}
--- a/src/mesh/targetConnectionPool.ts
+++ b/src/mesh/targetConnectionPool.ts
@@ -1,7 +1,8 @@
 /**
  * HTTP connections to the local target. A connection carries one request at a time. A response with the id of another
  * request is skipped, since a faulty target may send more responses than it has received requests. A response without
- * an id counts as the response to the current request.
+ * an id counts as the response to the current request only if that request is the first one of its connection;
+ * otherwise it may be a late copy of an earlier response.
  */
 import net from "node:net";
 import type { ResponseHead } from "../http/messageHead.ts";
@@ -63,6 +64,7 @@
     private readonly reader: MessageReader<ResponseHead>;
     private isOpen = false;
     private skippedResponses = 0;
+    private requestCount = 0;
 
     constructor(
         private readonly options: TargetConnectionPoolOptions,
@@ -83,6 +85,7 @@
 
     send(request: TargetRequest): void {
         this.currentRequest = request;
+        this.requestCount++;
         this.skippedResponses = 0;
         this.reader.isBodyless = request.method === "HEAD";
         if (this.isOpen) this.socket.write(request.bytes);
@@ -143,6 +146,10 @@
             this.fail("too many interim responses or responses to other requests");
             return true;
         }
+        if (head.requestId === undefined && request.requestId !== "" && this.requestCount > 1) {
+            this.fail("response without a request id on a kept connection");
+            return true;
+        }
         if (!this.isComplete(head, body)) {
             this.fail("body length differs from the length in its seal");
             return true;
--- a/test/platform/oddRecords.test.ts
+++ b/test/platform/oddRecords.test.ts
@@ -111,7 +111,7 @@
                 params: fc.anything(),
                 id: fc.option(fc.integer(), { nil: undefined }),
             }).map(message =>
-                JSON.stringify(message, (_, value) => typeof value === "bigint" ? 1 : value) ?? ""
+                JSON.stringify(message, (_, value: unknown) => typeof value === "bigint" ? 1 : value) ?? ""
             ),
         );
         await fc.assert(
