Let a bounded number of nodes follow the store for all

Change: 24 nodes, or the square root of their number if that is more, keep a read pending; they are those with the lowest hash of their name that are connected and can read the store. A follower announces the version of a new configuration; the others fetch it from a node that has it, in their data centre if possible. The directory no longer scans all nodes for each record.

Measured: test/platform/storeFollowers.test.ts (32 nodes: at most two reads a follower for a change, ten for 25 changes in 1 s), test/mesh/storeRole.test.ts.

--- a/src/mesh/controlStore.ts
+++ b/src/mesh/controlStore.ts
@@ -1,6 +1,7 @@
 /**
  * Interface to the platform's store of configurations and node records. An adapter for each platform implements it.
  */
+import type { StoreRole } from "../policy/storeRole.ts";
 import type { NodeRecord } from "./types.ts";
 
 export interface ControlStoreListener {
@@ -8,6 +9,10 @@
     onConfig(encoded: Buffer): void;
     /** Called with a node's record as given to `publish`, or with `undefined` when the record was removed. */
     onNode(name: string, record: unknown): void;
+    /** Called when reads begin to fail, and when one succeeds again. */
+    onReachable(isReachable: boolean): void;
+    /** Whether this node follows the store, at this moment. */
+    role(): StoreRole;
 }
 
 export interface ControlStore {
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -7,6 +7,7 @@
 import { RetryBudget } from "../policy/retryBudget.ts";
 import type { RetryBudgetOptions } from "../policy/retryBudget.ts";
 import { RouteDependencyMap } from "../policy/routeDependencies.ts";
+import type { StoreRole } from "../policy/storeRole.ts";
 import { toServerLimits } from "./clientLimits.ts";
 import { steadyNow } from "./clock.ts";
 import type { ControlStore } from "./controlStore.ts";
@@ -168,6 +169,11 @@
         return this.config?.version ?? 0;
     }
 
+    /** Whether this node follows the store. */
+    get storeRole(): StoreRole {
+        return this.peers.storeRole();
+    }
+
     get isReady(): boolean {
         return this.config !== undefined && this.stoppingSince === undefined;
     }
@@ -183,6 +189,8 @@
         this.options.store.start({
             onConfig: encoded => this.onConfig(encoded, "store"),
             onNode: (name, record) => this.onStoredNode(name, record),
+            onReachable: isReachable => this.peers.broadcastStoreReachable(isReachable),
+            role: () => this.peers.storeRole(),
         });
         this.tickTimer = setInterval(() => this.tick(), TICK_MS);
         this.options.log.unlimitedEvent("started", { service: this.service, peer: this.ownAddress });
@@ -376,6 +384,7 @@
         if (this.config !== undefined && config.version <= this.config.version) return;
         this.config = config;
         this.forwarder.onNewConfig();
+        if (from === "store") this.peerServer.broadcastConfigVersion(config.version);
         this.restoreTarget();
         this.options.log.unlimitedEvent("config", {
             version: config.version,
--- a/src/mesh/nodeDirectory.ts
+++ b/src/mesh/nodeDirectory.ts
@@ -7,6 +7,8 @@
 import * as v from "valibot";
 import { MAX_LEVEL } from "../policy/admissionLevel.ts";
 import type { Candidate } from "../policy/loadBalancer.ts";
+import { storeRankOf } from "../policy/storeRole.ts";
+import type { StorePeer } from "../policy/storeRole.ts";
 import type { LoadReport, NodeRecord } from "./types.ts";
 
 const MAX_PORT = 65_535;
@@ -43,13 +45,19 @@
 }
 
 /** A known node, with the load state by which the load balancer chooses a target. */
-export class KnownNode implements Candidate {
+export class KnownNode implements Candidate, StorePeer {
     inFlight = 0;
     inFlightAtReport = 0;
     report: LoadReport | undefined;
     reportedAt = 0;
     avoidUntil = 0;
     isConnected = false;
+    /** Version of the node's configuration, as it last reported; 0 if unknown. */
+    configVersion = 0;
+    /** Whether the node can read the store, as it last reported. */
+    canReadStore = true;
+    /** Rank of the node among those that may follow the store. */
+    readonly rank: number;
     /** Highest level that the target's node admits, as it last reported. */
     cutoff = MAX_LEVEL;
 
@@ -57,7 +65,9 @@
         public record: NodeRecord,
         readonly isSelf: boolean,
         readonly isInLocalDataCentre: boolean,
-    ) {}
+    ) {
+        this.rank = storeRankOf(record.name);
+    }
 
     get slots(): number {
         return this.record.target?.slots ?? 1;
@@ -90,6 +100,7 @@
 
 export class NodeDirectory {
     private readonly nodes = new Map<string, KnownNode>();
+    private readonly namesByAddress = new Map<string, string>();
     private readonly nodesByService = new Map<string, KnownNode[]>();
 
     constructor(private readonly options: NodeDirectoryOptions) {}
@@ -137,9 +148,12 @@
             existing.report = undefined;
             existing.cutoff = MAX_LEVEL;
             existing.avoidUntil = 0;
+            existing.canReadStore = true;
         }
+        const hasOtherService = record.target?.service !== existing.record.target?.service;
+        if (hasOtherService) this.removeFromServiceIndex(existing);
         existing.record = record;
-        this.rebuildServiceIndex();
+        if (hasOtherService) this.addToServiceIndex(existing);
         return true;
     }
 
@@ -147,7 +161,8 @@
         const node = this.nodes.get(name);
         if (node === undefined) return;
         this.nodes.delete(name);
-        this.rebuildServiceIndex();
+        this.namesByAddress.delete(node.record.address);
+        this.removeFromServiceIndex(node);
         this.options.onRemoved(node);
     }
 
@@ -157,12 +172,11 @@
      * not start later. Returns whether the record may be stored.
      */
     private claimAddress(record: NodeRecord, source: RecordSource): boolean {
-        for (const other of this.nodes.values()) {
-            const { name, address, startedAt } = other.record;
-            if (address !== record.address || name === record.name) continue;
-            if (source !== "itself" && (other.isConnected || startedAt > record.startedAt)) return false;
-            this.remove(name);
-        }
+        const other = this.nodes.get(this.namesByAddress.get(record.address) ?? "");
+        if (other === undefined || other.record.name === record.name) return true;
+        const { name, startedAt } = other.record;
+        if (source !== "itself" && (other.isConnected || startedAt > record.startedAt)) return false;
+        this.remove(name);
         return true;
     }
 
@@ -170,19 +184,26 @@
         const isSelf = record.name === this.options.name;
         const node = new KnownNode(record, isSelf, record.dataCentre === this.options.dataCentre);
         this.nodes.set(record.name, node);
-        this.rebuildServiceIndex();
+        this.namesByAddress.set(record.address, record.name);
+        this.addToServiceIndex(node);
         this.options.onAdded(node);
     }
 
-    private rebuildServiceIndex(): void {
-        this.nodesByService.clear();
-        for (const node of this.nodes.values()) {
-            const service = node.record.target?.service;
-            if (service === undefined) continue;
-            const sameService = this.nodesByService.get(service);
-            if (sameService === undefined) this.nodesByService.set(service, [node]);
-            else sameService.push(node);
-        }
+    private addToServiceIndex(node: KnownNode): void {
+        const service = node.record.target?.service;
+        if (service === undefined) return;
+        const sameService = this.nodesByService.get(service);
+        if (sameService === undefined) this.nodesByService.set(service, [node]);
+        else sameService.push(node);
+    }
+
+    private removeFromServiceIndex(node: KnownNode): void {
+        const service = node.record.target?.service;
+        if (service === undefined) return;
+        // A new array, because the caller may be iterating over the current one.
+        const remaining = this.nodesOfService(service).filter(other => other !== node);
+        if (remaining.length > 0) this.nodesByService.set(service, remaining);
+        else this.nodesByService.delete(service);
     }
 }
 
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -1,7 +1,7 @@
 /** Accepts connections from other nodes, runs the requests that they send, and sends the outcomes back. */
 import type { JSONRPCServer } from "json-rpc-2.0";
 import net from "node:net";
-import { encodeResponse, encodeSignal } from "./frames.ts";
+import { encodePong, encodeResponse, encodeSignal } from "./frames.ts";
 import { FrameSocket } from "./frameSocket.ts";
 import type { DataPlaneFrame } from "./frameSocket.ts";
 import type { Run, Runner } from "./runner.ts";
@@ -106,6 +106,11 @@
         for (const conn of this.connections) conn.frameSocket.write(encodeSignal("cutoff", cutoff));
     }
 
+    /** Sends the version of a new configuration to all connected nodes. */
+    broadcastConfigVersion(version: number): void {
+        for (const conn of this.connections) conn.frameSocket.write(encodePong(version));
+    }
+
     tick(now: number): void {
         for (const conn of this.connections) conn.frameSocket.tick(now, false);
     }
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -5,7 +5,10 @@
 import { JSONRPCServer } from "json-rpc-2.0";
 import * as v from "valibot";
 import type { RouteDependencies, RouteDependencyMap } from "../policy/routeDependencies.ts";
+import { storeRankOf, storeRoleOf } from "../policy/storeRole.ts";
+import type { StoreRole } from "../policy/storeRole.ts";
 import { steadyNow } from "./clock.ts";
+import { ConfigSync } from "./configSync.ts";
 import type { EventLog } from "./eventLog.ts";
 import type { FrameSocket } from "./frameSocket.ts";
 import { NodeDirectory, safeParseNodeRecord } from "./nodeDirectory.ts";
@@ -33,8 +36,6 @@
 
 type RpcChannel = Pick<FrameSocket, "notify" | "request">;
 
-/** Time for the store to deliver a new configuration before it is fetched from a node that has it. */
-const CONFIG_FETCH_DELAY_MS = 300;
 const MAX_LOGGED_KEY_LENGTH = 100;
 const NODE_LIST_REQUEST_INTERVAL_MS = 500;
 /** A node that knows no more nodes than this, itself included, requests the other node's list on a new connection. */
@@ -44,7 +45,9 @@
     readonly directory: NodeDirectory;
     readonly rpcServer = new JSONRPCServer();
     private readonly links = new Map<KnownNode, PeerLink>();
-    private isFetchingConfig = false;
+    private readonly configSync: ConfigSync;
+    private readonly ownStoreRank: number;
+    private canReadStore = true;
     private nodeListRequestedAt = -Infinity;
 
     constructor(private readonly options: PeersOptions) {
@@ -54,6 +57,15 @@
             onAdded: node => this.onAdded(node),
             onRemoved: node => this.onRemoved(node),
         });
+        this.ownStoreRank = storeRankOf(options.name);
+        this.configSync = new ConfigSync({
+            ...options,
+            storeRole: () => this.storeRole(),
+            nodes: () => this.directory.allNodes(),
+            request: node =>
+                this.links.get(node)?.request("config.fetch", {})
+                    ?? Promise.reject(new Error("no link to the node")),
+        });
         this.addRpcMethods();
     }
 
@@ -72,15 +84,14 @@
     }
 
     close(): void {
+        this.configSync.stop();
         for (const link of this.links.values()) link.close();
     }
 
     /** Stores this node's changed record in its own directory and sends it to all connected nodes. */
     broadcastOwnRecord(): void {
-        const record = this.options.ownRecord();
-        this.directory.upsert(record);
-        const update = { record, configVersion: this.options.configVersion() };
-        for (const link of this.links.values()) link.notify("node.update", update);
+        this.directory.upsert(this.options.ownRecord());
+        for (const link of this.links.values()) link.notify("node.update", this.ownState());
     }
 
     /** Sends newly observed dependencies of routes to all connected nodes. */
@@ -90,10 +101,7 @@
 
     /** Sends the state of this node that the other node needs on a new connection. */
     sendHello(channel: RpcChannel): void {
-        channel.notify("node.hello", {
-            record: this.options.ownRecord(),
-            configVersion: this.options.configVersion(),
-        });
+        channel.notify("node.hello", this.ownState());
         const dependencies = this.options.dependencies.all();
         if (dependencies.length > 0) channel.notify("routes.use", { uses: dependencies });
         this.requestNodeList(channel);
@@ -114,11 +122,28 @@
         if (node !== undefined && !node.isConnected) this.directory.remove(name);
     }
 
-    /** Handles the configuration version of another node. Fetches a newer one unless the store delivers it first. */
+    /** Handles the configuration version of another node. */
     onPeerConfigVersion(node: KnownNode, version: number): void {
-        if (version <= this.options.configVersion() || this.isFetchingConfig) return;
-        this.isFetchingConfig = true;
-        setTimeout(() => this.fetchConfig(node, version), CONFIG_FETCH_DELAY_MS);
+        this.configSync.onPeerVersion(node, version);
+    }
+
+    /** Whether this node follows the store, see `storeRoleOf`. */
+    storeRole(): StoreRole {
+        return storeRoleOf(this.ownStoreRank, this.directory.allNodes());
+    }
+
+    /** Tells all connected nodes whether this node can read the store. */
+    broadcastStoreReachable(isReachable: boolean): void {
+        this.canReadStore = isReachable;
+        for (const link of this.links.values()) link.notify("node.update", this.ownState());
+    }
+
+    private ownState(): Readonly<Record<string, unknown>> {
+        return {
+            record: this.options.ownRecord(),
+            configVersion: this.options.configVersion(),
+            canReadStore: this.canReadStore,
+        };
     }
 
     private addRpcMethods(): void {
@@ -157,11 +182,11 @@
 
     private onNodeUpdate(params: unknown): void {
         if (typeof params !== "object" || params === null) return;
-        const { record, configVersion } = params as Readonly<Record<string, unknown>>;
+        const { record, configVersion, canReadStore } = params as Readonly<Record<string, unknown>>;
         const node = this.applyRecord(record, "itself");
-        if (node !== undefined && typeof configVersion === "number") {
-            this.onPeerConfigVersion(node, configVersion);
-        }
+        if (node === undefined) return;
+        node.canReadStore = canReadStore !== false;
+        if (typeof configVersion === "number") this.onPeerConfigVersion(node, configVersion);
     }
 
     private applyRecord(input: unknown, source: RecordSource = "others"): KnownNode | undefined {
@@ -221,23 +246,4 @@
         this.links.get(node)?.close();
         this.links.delete(node);
     }
-
-    private fetchConfig(node: KnownNode, version: number): void {
-        const link = this.links.get(node);
-        if (version <= this.options.configVersion() || link === undefined) {
-            this.isFetchingConfig = false;
-            return;
-        }
-        link.request("config.fetch", {}).then(
-            encoded => {
-                this.isFetchingConfig = false;
-                if (typeof encoded !== "string" || encoded === "") return;
-                this.options.onConfig(Buffer.from(encoded, "base64"), node.record.name);
-            },
-            (err: unknown) => {
-                this.isFetchingConfig = false;
-                this.options.log.event("config-fetch-failed", { from: node.record.name, cause: String(err) });
-            },
-        );
-    }
 }
--- /dev/null
+++ b/test/platform/storeFollowers.test.ts
@@ -0,0 +1,64 @@
+/** Requests to the store of a mesh in which most nodes do not follow it. */
+import { expect } from "chai";
+import { followerCountOf } from "../../src/policy/storeRole.ts";
+import { PlatformMesh, waitFor, wireConfig } from "../support/platformMesh.ts";
+
+const NODE_COUNT = 32;
+/** Time in which the nodes settle: longer than the time until a node takes its role. */
+const SETTLE_MS = 2500;
+
+describe("a mesh with more nodes than followers of the store", () => {
+    let mesh: PlatformMesh;
+
+    before(async () => {
+        mesh = new PlatformMesh();
+        await mesh.start(Array.from({ length: NODE_COUNT }, (_, index) => ({
+            name: `node-${index}`,
+            service: index % 2 === 0 ? "shop" : "stock",
+        })));
+        await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+    });
+
+    after(() => mesh.stop());
+
+    const versions = () => mesh.hosts.map(({ node }) => node.meshNode.configVersion);
+    const followers = () => mesh.hosts.filter(({ node }) => node.meshNode.storeRole.kind === "follow").length;
+    const settle = () => new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+
+    it("delivers each configuration to all nodes with reads by the followers only", async () => {
+        await settle();
+        expect(followers()).to.equal(followerCountOf(NODE_COUNT));
+        const { requestCount } = mesh.store;
+        mesh.store.putConfig(wireConfig(2));
+        await waitFor("version 2", () => versions().every(version => version === 2));
+        await settle();
+        // One read per follower ends with the new version. Some of the next ones reach their longest wait meanwhile.
+        expect(mesh.store.requestCount - requestCount).to.be.at.most(2 * followerCountOf(NODE_COUNT));
+    });
+
+    it("ends on the newest of many configurations in quick succession, with few reads", async () => {
+        const { requestCount } = mesh.store;
+        for (let version = 3; version <= 27; version++) {
+            mesh.store.putConfig(wireConfig(version));
+            await new Promise(resolve => setTimeout(resolve, 40));
+        }
+        await waitFor("version 27", () => versions().every(version => version === 27));
+        expect(mesh.store.requestCount - requestCount).to.be.at.most(10 * followerCountOf(NODE_COUNT));
+    });
+
+    it("delivers a configuration while all followers are turned away by the store", async () => {
+        const turnedAway = mesh.hosts.filter(({ node }) => node.meshNode.storeRole.kind === "follow")
+            .map(({ settings }) => settings.store.host);
+        mesh.store.refusedAddresses = new Set(turnedAway);
+        mesh.store.endLongPolls();
+        await waitFor(
+            "other followers",
+            () =>
+                mesh.hosts.some(({ node, settings }) =>
+                    !turnedAway.includes(settings.store.host) && node.meshNode.storeRole.kind === "follow"
+                ),
+        );
+        mesh.store.putConfig(wireConfig(30));
+        await waitFor("version 30", () => versions().every(version => version === 30));
+    });
+});
--- a/test/support/platformMesh.ts
+++ b/test/support/platformMesh.ts
@@ -163,7 +163,8 @@
             heartbeats: await allocateAddress(),
             peer: await allocateAddress(),
             metrics: await allocateAddress(),
-            store: { host: "127.0.0.1", port: this.storePort },
+            // Every address of 127.0.0.0/8 reaches the store, which can therefore tell the nodes apart.
+            store: { host: `127.0.0.${10 + this.hosts.length}`, port: this.storePort },
             graceMs: 6000,
             retryRatio: 0.2,
             retrySlack: 48,
--- a/test/support/standinStore.ts
+++ b/test/support/standinStore.ts
@@ -13,6 +13,8 @@
 export class StandinStore {
     fault: Fault = "none";
     requestCount = 0;
+    /** Loopback addresses at which requests are answered with status 503; each node may use an address of its own. */
+    refusedAddresses: ReadonlySet<string> = new Set();
     private readonly topics = new Map<string, StoredRecord[]>();
     /** Offset of the first retained record, by topic. */
     private readonly firstOffsets = new Map<string, number>();
@@ -21,7 +23,7 @@
     private readonly server = http.createServer((req, res) => this.handle(req, res));
 
     async start(): Promise<number> {
-        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
+        await new Promise<void>(resolve => this.server.listen(0, "0.0.0.0", resolve));
         return (this.server.address() as AddressInfo).port;
     }
 
@@ -40,6 +42,11 @@
         for (const recheck of this.longPolls) recheck();
     }
 
+    /** Ends all waiting reads as if their wait was over. */
+    endLongPolls(): void {
+        for (const recheck of [...this.longPolls]) recheck();
+    }
+
     /** Makes the records of a topic unreadable by offset; `/log-newest` still returns the newest one of each key. */
     compact(topic: string): void {
         this.firstOffsets.set(topic, this.recordsOf(topic).length);
@@ -67,7 +74,9 @@
         req.on("data", (chunk: Buffer) => chunks.push(chunk));
         req.on("end", () => {
             if (this.fault === "silent") return;
-            if (this.fault === "busy") return void res.writeHead(503).end();
+            if (this.fault === "busy" || this.refusedAddresses.has(req.socket.localAddress ?? "")) {
+                return void res.writeHead(503).end();
+            }
             const url = new URL(req.url!, "http://store");
             this.respond(url, Buffer.concat(chunks), res);
         });
