Read on behind malformed log records, and bound reported missing handovers

Cause: a batch of malformed records only left the offset where it was, and the same read was issued at once, without end. Missing handovers that peers report without the members before them were never recognized as known and not counted towards the limit, so each peer added one more.

Change: the offset follows the end of the batch. An entry without the members before counts as known if one with the same version and at least the same time is kept; beyond the limit the oldest entries are merged, with the latest time.

--- a/src/handover.ts
+++ b/src/handover.ts
@@ -119,10 +119,22 @@
         : missingHandovers.clear();
     if (before !== undefined && lost.length === 0) return retained;
     const { version, offset } = view;
-    const next = retained.push({ version, offset, readAt: now, before, lost, reported: false });
-    if (next.size <= MAX_MISSING_HANDOVERS) return next;
-    // Merges the oldest entry into the second-oldest. Without `before`, an entry applies to every key.
-    return next.skip(2).unshift({ ...next.get(1)!, before: undefined });
+    return mergeOldest(retained.push({ version, offset, readAt: now, before, lost, reported: false }));
+}
+
+/** Merges the oldest entries until the limit is met. Without `before`, an entry applies to every key. */
+function mergeOldest(missingHandovers: List<MissingHandover>): List<MissingHandover> {
+    let result = missingHandovers;
+    while (result.size > MAX_MISSING_HANDOVERS) {
+        const [first, second] = [result.get(0)!, result.get(1)!];
+        result = result.skip(2).unshift({
+            ...second,
+            before: undefined,
+            offset: Math.max(first.offset, second.offset),
+            readAt: Math.max(first.readAt, second.readAt),
+        });
+    }
+    return result;
 }
 
 /** Ids of the members before a view was created; undefined if unknown members may have owned keys. */
@@ -298,7 +310,7 @@
             reported: true,
         }))
         .filter(missing => !isKnownMissingHandover(merged, missing));
-    const missingHandovers = merged.ownership.missingHandovers.unshift(...received);
+    const missingHandovers = mergeOldest(merged.ownership.missingHandovers.unshift(...received));
     return {
         state: withOwnership(merged, {
             missingHandovers: request.last
@@ -310,10 +322,12 @@
 }
 
 function isKnownMissingHandover(state: NodeState, missing: MissingHandover): boolean {
-    return state.ownership.missingHandovers.some(known =>
-        known.reported && known.version === missing.version && missing.before !== undefined
-        && missing.lost.every(id => known.lost.includes(id))
-    );
+    return state.ownership.missingHandovers.some(known => {
+        if (!known.reported || known.version !== missing.version) return false;
+        // An entry without `before` applies to every key, until a time that follows from `readAt`.
+        if (known.before === undefined) return known.readAt >= missing.readAt;
+        return missing.before !== undefined && missing.lost.every(id => known.lost.includes(id));
+    });
 }
 
 function removeReceivedHandover(
--- a/src/logReader.ts
+++ b/src/logReader.ts
@@ -86,9 +86,8 @@
         result = andThen(result, next => applyRecord(next, offset, record, event.now));
     }
     const { control } = result.state;
-    // A batch omits records that could not be parsed. They count as read if the batch has any other record. Otherwise
-    // the offset stays, and the next read starts with them again.
-    const offset = event.records.length > 0 ? Math.max(control.offset, event.next - 1) : control.offset;
+    // A batch omits records that could not be parsed. They count as read, also if the batch has no other record.
+    const offset = Math.max(control.offset, event.next - 1);
     return { ...result, state: { ...result.state, control: { ...control, offset } } };
 }
 
