Bound the control messages of a node in a large mesh

Cause: every node pings every other one each 4 s and sends each change of its cutoff to all, up to ten times a second.

Change: idle connections are pinged at most 25 times a second in all, and cutoffs are sent at most each 2 ms per node of the mesh, 500 ms at the longest; the beginning and the end of an overload are still sent at once. When a ping fails, all idle connections are pinged, so a fault that silences many is found within 2 s instead of 5.

--- a/src/mesh/frameSocket.ts
+++ b/src/mesh/frameSocket.ts
@@ -14,8 +14,6 @@
 
 export interface FrameSocketOptions {
     readonly socket: net.Socket;
-    /** Whether the other node opened the connection. */
-    readonly isAccepted?: boolean;
     readonly rpcServer: JSONRPCServer;
     readonly onFrame: (frame: DataPlaneFrame) => void;
     readonly onClose: () => void;
@@ -27,17 +25,8 @@
     readonly onConfigVersion?: (version: number) => void;
 }
 
-/** Time without received data after which a ping is sent while responses are pending. */
-const AWAITING_KEEPALIVE_MS = 300;
 /** Time without received data after a ping until the connection is closed. */
 const KEEPALIVE_TIMEOUT_MS = 700;
-/**
- * Time without received data after which a ping is sent on an idle connection that this node opened. Detects a dead
- * connection before a request uses it.
- */
-const IDLE_KEEPALIVE_MS = 4000;
-/** The same for an accepted connection, on which the ping only has to detect eventually that the other node is gone. */
-const ACCEPTED_IDLE_KEEPALIVE_MS = 20_000;
 const RPC_TIMEOUT_MS = 2000;
 
 export class FrameSocket {
@@ -49,11 +38,9 @@
     private lastReadAt = steadyNow();
     private pingSentAt: number | undefined;
     private isClosed = false;
-    private readonly idleKeepaliveMs: number;
 
     constructor(private readonly options: FrameSocketOptions) {
         const { socket } = options;
-        this.idleKeepaliveMs = options.isAccepted === true ? ACCEPTED_IDLE_KEEPALIVE_MS : IDLE_KEEPALIVE_MS;
         this.socket = socket;
         const client = new JSONRPCClient(message => this.write(encodeRpc(JSON.stringify(message))));
         this.rpc = new JSONRPCServerAndClient(options.rpcServer, client);
@@ -79,15 +66,20 @@
         setImmediate(() => this.flush());
     }
 
-    /** Pings a connection on which no data arrives, or closes it after a failed ping. Called at regular intervals. */
-    tick(now: number, isAwaitingResponse: boolean): void {
-        const keepaliveMs = isAwaitingResponse ? AWAITING_KEEPALIVE_MS : this.idleKeepaliveMs;
+    /**
+     * Pings a connection on which no data has arrived for `keepaliveMs`, or closes it after a failed ping. Called at
+     * regular intervals. Returns whether it closed the connection.
+     */
+    tick(now: number, keepaliveMs: number): boolean {
         if (this.pingSentAt === undefined) {
-            if (now - this.lastReadAt < keepaliveMs) return;
+            if (now - this.lastReadAt < keepaliveMs) return false;
             this.pingSentAt = now;
             this.write(encodeSignal("ping", 0));
+            return false;
         }
-        else if (now - this.pingSentAt > KEEPALIVE_TIMEOUT_MS) this.destroy();
+        if (now - this.pingSentAt <= KEEPALIVE_TIMEOUT_MS) return false;
+        this.destroy();
+        return true;
     }
 
     destroy(): void {
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -4,6 +4,7 @@
  */
 import { HttpServer } from "../http/httpServer.ts";
 import { MAX_LEVEL } from "../policy/admissionLevel.ts";
+import { CutoffBroadcast } from "../policy/controlRate.ts";
 import { RetryBudget } from "../policy/retryBudget.ts";
 import type { RetryBudgetOptions } from "../policy/retryBudget.ts";
 import { RouteDependencyMap } from "../policy/routeDependencies.ts";
@@ -78,7 +79,7 @@
     private readonly registration: TargetRegistration;
     private readonly routeDependencies = new RouteDependencyMap();
     private readonly pauseDetector = new PauseDetector(TICK_MS);
-    private lastBroadcastCutoff = MAX_LEVEL;
+    private readonly cutoffBroadcast = new CutoffBroadcast(MAX_LEVEL);
     private config: MeshConfig | undefined;
     private service: string;
     private serial = 0;
@@ -275,7 +276,7 @@
         const now = steadyNow();
         this.pauseDetector.tick(now);
         this.runner.tick(now);
-        this.broadcastCutoff();
+        this.broadcastCutoff(now);
         this.peers.tick(now);
         if (++this.ticks % TICKS_PER_SECOND !== 0) return;
         this.loadLog.write(now, this.registration.record);
@@ -283,13 +284,11 @@
         this.clientServer.checkTimeouts(now);
     }
 
-    private broadcastCutoff(): void {
+    private broadcastCutoff(now: number): void {
         const { cutoffLevel } = this.runner;
-        if (cutoffLevel === this.lastBroadcastCutoff) return;
-        this.lastBroadcastCutoff = cutoffLevel;
-        this.peerServer.broadcastCutoff(cutoffLevel);
-        const own = this.directory.get(this.options.name);
-        if (own !== undefined) own.cutoff = cutoffLevel;
+        this.peers.setOwnCutoff(cutoffLevel);
+        const isDue = this.cutoffBroadcast.isDue(cutoffLevel, this.directory.size, now);
+        if (isDue) this.peerServer.broadcastCutoff(cutoffLevel);
     }
 
     /** Passes the target's current record to the runner. Sends and stores it if it differs from the previous one. */
--- a/src/mesh/peerLink.ts
+++ b/src/mesh/peerLink.ts
@@ -24,6 +24,8 @@
     readonly onError: (err: unknown) => void;
 }
 
+/** Time without received data after which a ping is sent while responses are pending. */
+const AWAITING_KEEPALIVE_MS = 300;
 const CONNECT_TIMEOUT_MS = 500;
 const INITIAL_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 1500;
@@ -71,8 +73,10 @@
             ?? Promise.reject(new Error("peer is not connected"));
     }
 
-    tick(now: number): void {
-        this.frameSocket?.tick(now, this.listeners.size > 0);
+    /** Pings the connection if it is silent for too long. Returns whether it closed the connection after a failed ping. */
+    tick(now: number, idleKeepaliveMs: number): boolean {
+        const keepaliveMs = this.listeners.size > 0 ? AWAITING_KEEPALIVE_MS : idleKeepaliveMs;
+        return this.frameSocket?.tick(now, keepaliveMs) === true;
     }
 
     /** If the link waits for its next attempt to connect, connects now. Called when the other node's record changes. */
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -22,6 +22,12 @@
     readonly pauseMs: () => number;
 }
 
+/**
+ * Time without received data after which an accepted connection is pinged. The ping only has to detect eventually that
+ * the other node is gone, since that node pings the connection, too.
+ */
+export const ACCEPTED_IDLE_KEEPALIVE_MS = 60_000;
+
 class PeerConnection {
     readonly frameSocket: FrameSocket;
     private readonly runs = new Map<number, Run>();
@@ -29,7 +35,6 @@
     constructor(socket: net.Socket, private readonly options: PeerServerOptions, onClose: () => void) {
         this.frameSocket = new FrameSocket({
             socket,
-            isAccepted: true,
             rpcServer: options.rpcServer,
             onFrame: frame => this.onFrame(frame),
             configVersion: options.configVersion,
@@ -112,7 +117,7 @@
     }
 
     tick(now: number): void {
-        for (const conn of this.connections) conn.frameSocket.tick(now, false);
+        for (const conn of this.connections) conn.frameSocket.tick(now, ACCEPTED_IDLE_KEEPALIVE_MS);
     }
 
     close(): void {
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -4,6 +4,7 @@
  */
 import { JSONRPCServer } from "json-rpc-2.0";
 import * as v from "valibot";
+import { idleKeepaliveMs } from "../policy/controlRate.ts";
 import type { RouteDependencies, RouteDependencyMap } from "../policy/routeDependencies.ts";
 import { storeRankOf, storeRoleOf } from "../policy/storeRole.ts";
 import type { StoreRole } from "../policy/storeRole.ts";
@@ -36,6 +37,10 @@
 
 type RpcChannel = Pick<FrameSocket, "notify" | "request">;
 
+/** Minimum time between two probes of all connections. */
+const MIN_PROBE_INTERVAL_MS = 1000;
+/** Time without received data after which a probe pings a connection. */
+const PROBE_KEEPALIVE_MS = 300;
 const MAX_LOGGED_KEY_LENGTH = 100;
 const NODE_LIST_REQUEST_INTERVAL_MS = 500;
 /** A node that knows no more nodes than this, itself included, requests the other node's list on a new connection. */
@@ -48,6 +53,8 @@
     private readonly configSync: ConfigSync;
     private readonly ownStoreRank: number;
     private canReadStore = true;
+    private isProbeWanted = false;
+    private probedAt = -Infinity;
     private nodeListRequestedAt = -Infinity;
 
     constructor(private readonly options: PeersOptions) {
@@ -79,8 +86,20 @@
         return () => link.cancel(streamNumber);
     }
 
+    /**
+     * Pings silent connections. If a ping fails, all connections that are not in use are pinged: the cause may concern
+     * all of them, and a request must not be the first to find out.
+     */
     tick(now: number): void {
-        for (const link of this.links.values()) link.tick(now);
+        const mayProbe = this.isProbeWanted && now - this.probedAt >= MIN_PROBE_INTERVAL_MS;
+        if (mayProbe) {
+            this.probedAt = now;
+            this.isProbeWanted = false;
+        }
+        const keepaliveMs = mayProbe ? PROBE_KEEPALIVE_MS : idleKeepaliveMs(this.directory.size);
+        for (const link of this.links.values()) {
+            if (link.tick(now, keepaliveMs)) this.isProbeWanted = true;
+        }
     }
 
     close(): void {
@@ -94,6 +113,12 @@
         for (const link of this.links.values()) link.notify("node.update", this.ownState());
     }
 
+    /** The entry cutoff of a service includes the local target, if it belongs to the service. */
+    setOwnCutoff(cutoff: number): void {
+        const own = this.directory.get(this.options.name);
+        if (own !== undefined) own.cutoff = cutoff;
+    }
+
     /** Sends newly observed dependencies of routes to all connected nodes. */
     broadcastDependencies(dependencies: readonly RouteDependencies[]): void {
         for (const link of this.links.values()) link.notify("routes.use", { uses: dependencies });
