Ask another node before a stored target is used again after a restart

Cause: a target deregistered while the store was unavailable and its node was killed before the write. The next process read the record "ready" from the store, and one good health check put the target in use again, although its leaving had been acknowledged.

Nodes keep the last target of a restarted node for this.

--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -26,6 +26,7 @@
 import { Runner } from "./runner.ts";
 import { TargetRegistration } from "./targetRegistration.ts";
 import type { Announcement } from "./targetRegistration.ts";
+import { TargetRestorer } from "./targetRestorer.ts";
 import type { ConfigResult, MeshConfig, NodeRecord, TargetRecord } from "./types.ts";
 
 export interface HostPort {
@@ -89,8 +90,7 @@
     private refuseRunsTimer: NodeJS.Timeout | undefined;
     private ticks = 0;
     private tickTimer: NodeJS.Timeout | undefined;
-    /** Target that an earlier process stored; used again once its service is configured and a health check succeeds. */
-    private targetToRestore: TargetRecord | undefined;
+    private readonly restorer: TargetRestorer;
     private readonly loadLog: LoadLog;
     /** This node's record as it was last read from the store or written to it. */
     private storedRecord: NodeRecord | undefined;
@@ -107,6 +107,14 @@
             protocol: options.protocol,
             entryCutoffOf: service => this.forwarder.entryCutoffOf(service),
         });
+        this.restorer = new TargetRestorer({
+            healthPathOf: service => this.config?.services.get(service)?.healthPath,
+            checkHealth: (path, onChecked) => this.runner.checkHealth(path, onChecked),
+            onRestored: target => {
+                const isRestored = this.stoppingSince === undefined && this.registration.restore(target);
+                if (isRestored) this.applyTargetRecord(undefined);
+            },
+        });
         this.loadLog = new LoadLog({
             log: options.log,
             counters: this.counters,
@@ -121,6 +129,7 @@
             encodedConfig: () => this.config?.encoded,
             onConfig: (encoded, from) => this.onConfig(encoded, from),
             dependencies: this.routeDependencies,
+            restorer: this.restorer,
             onNodeCountChange: nodes => this.retryBudget.setNodeCount(nodes),
         });
         this.forwarder = new Forwarder({
@@ -353,19 +362,9 @@
             || this.storedRecord !== undefined
         ) return;
         this.storedRecord = record;
-        this.targetToRestore = record.target?.state === "ready" ? record.target : undefined;
-        this.restoreTarget();
-    }
-
-    private restoreTarget(): void {
-        const target = this.targetToRestore;
-        const service = target === undefined ? undefined : this.config?.services.get(target.service);
-        if (target === undefined || service === undefined || this.registration.record !== undefined) return;
-        this.targetToRestore = undefined;
-        this.runner.checkHealth(service.healthPath, healthyId => {
-            if (healthyId !== target.id || this.stoppingSince !== undefined) return;
-            if (this.registration.restore(target)) this.applyTargetRecord(undefined);
-        });
+        if (record.target?.state !== "ready" || this.registration.record !== undefined) return;
+        this.restorer.start(record.target);
+        this.peers.requestOwnRecord();
     }
 
     /** Applies a configuration unless it cannot be decoded or is not newer than the one in force. */
@@ -384,7 +383,7 @@
         this.config = config;
         this.forwarder.onNewConfig();
         if (from === "store") this.peerServer.broadcastConfigVersion(config.version);
-        this.restoreTarget();
+        this.restorer.tryRestore();
         this.options.log.unlimitedEvent("config", {
             version: config.version,
             hosts: config.routesByHost.size,
--- a/src/mesh/nodeDirectory.ts
+++ b/src/mesh/nodeDirectory.ts
@@ -9,7 +9,7 @@
 import type { Candidate } from "../policy/loadBalancer.ts";
 import { storeRankOf } from "../policy/storeRole.ts";
 import type { StorePeer } from "../policy/storeRole.ts";
-import type { LoadReport, NodeRecord } from "./types.ts";
+import type { LoadReport, NodeRecord, TargetRecord } from "./types.ts";
 
 const MAX_PORT = 65_535;
 const shortTextSchema = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
@@ -56,6 +56,8 @@
     configVersion = 0;
     /** Whether the node can read the store, as it last reported. */
     canReadStore = true;
+    /** Target of the node or, if its record has none, of its earlier process. */
+    lastTarget: TargetRecord | undefined;
     /** Rank of the node among those that may follow the store. */
     readonly rank: number;
     /** Highest level that the target's node admits, as it last reported. */
@@ -67,6 +69,7 @@
         readonly isInLocalDataCentre: boolean,
     ) {
         this.rank = storeRankOf(record.name);
+        this.lastTarget = record.target;
     }
 
     get slots(): number {
@@ -153,6 +156,7 @@
         const hasOtherService = record.target?.service !== existing.record.target?.service;
         if (hasOtherService) this.removeFromServiceIndex(existing);
         existing.record = record;
+        existing.lastTarget = record.target ?? existing.lastTarget;
         if (hasOtherService) this.addToServiceIndex(existing);
         return true;
     }
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -16,6 +16,7 @@
 import type { KnownNode, RecordSource } from "./nodeDirectory.ts";
 import { PeerLink } from "./peerLink.ts";
 import type { OutcomeListener } from "./peerLink.ts";
+import type { TargetRestorer } from "./targetRestorer.ts";
 import type { ForwardedRequest, NodeRecord } from "./types.ts";
 
 export interface PeersOptions {
@@ -29,6 +30,8 @@
     readonly onConfig: (encoded: Buffer, from: string) => void;
     readonly dependencies: RouteDependencyMap;
     readonly onNodeCountChange: (nodeCount: number) => void;
+    /** Wants to know what other nodes know of this one, after a restart. */
+    readonly restorer?: Pick<TargetRestorer, "isWaiting" | "onPeerRecord">;
 }
 
 const dependenciesSchema = v.object({
@@ -152,6 +155,20 @@
         this.configSync.onPeerVersion(node, version);
     }
 
+    /** Asks the connected nodes for the record that they have of this node, in which an earlier process described it. */
+    requestOwnRecord(): void {
+        for (const [node, link] of this.links) if (node.isConnected) this.requestOwnRecordFrom(link);
+    }
+
+    private requestOwnRecordFrom(link: PeerLink): void {
+        const { restorer, name } = this.options;
+        if (restorer?.isWaiting !== true) return;
+        link.request("node.known", { name }).then(
+            record => restorer.onPeerRecord(record),
+            (err: unknown) => this.options.log.event("node-known-failed", { cause: String(err) }),
+        );
+    }
+
     /** Whether this node follows the store, see `storeRoleOf`. */
     storeRole(): StoreRole {
         return storeRoleOf(this.ownStoreRank, this.directory.allNodes());
@@ -175,6 +192,7 @@
         this.rpcServer.addMethod("node.hello", (params: unknown) => this.onNodeUpdate(params));
         this.rpcServer.addMethod("node.update", (params: unknown) => this.onNodeUpdate(params));
         this.rpcServer.addMethod("routes.use", (params: unknown) => this.onDependencies(params));
+        this.rpcServer.addMethod("node.known", (params: unknown) => this.recordOfCaller(params));
         this.rpcServer.addMethod("nodes.list", () => [...this.directory.allNodes()].map(node => node.record));
         this.rpcServer.addMethod(
             "config.fetch",
@@ -182,6 +200,15 @@
         );
     }
 
+    /** Record of the calling node with the last target that it had, also if an earlier process had announced it. */
+    private recordOfCaller(params: unknown): Partial<NodeRecord> {
+        const name = typeof params === "object" && params !== null && "name" in params
+            ? params.name
+            : undefined;
+        const node = typeof name === "string" ? this.directory.get(name) : undefined;
+        return node === undefined ? {} : { ...node.record, target: node.lastTarget };
+    }
+
     /** Requests a node's list unless this node knows enough nodes or has requested one in the last 500 ms. */
     private requestNodeList(channel: RpcChannel): void {
         const now = steadyNow();
@@ -256,6 +283,7 @@
             },
             onConnected: connectedLink => {
                 node.isConnected = true;
+                this.requestOwnRecordFrom(connectedLink);
                 this.sendHello(connectedLink);
             },
             onDisconnected: () => {
