--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -165,7 +165,7 @@
             configVersion: () => this.configVersion,
             isRefusingRuns: () => this.isRefusingRuns,
             rpcServer: this.peers.rpcServer,
-            onConnected: frameSocket => this.peers.sendHello(frameSocket),
+            onConnected: frameSocket => this.peers.onAccepted(frameSocket),
             onError: err => options.log.event("peer-error", { cause: String(err) }),
             pauseMs: () => this.pauseDetector.pauseMs(steadyNow()),
         });
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -127,8 +127,16 @@
         for (const link of this.links.values()) link.notify("routes.use", { uses: dependencies });
     }
 
+    /**
+     * Handles a new connection from another node. That node gets this node's state on the connection in the other
+     * direction, which this node opens when it receives the hello: with N nodes, N² hellos are sent at a start already.
+     */
+    onAccepted(channel: RpcChannel): void {
+        this.requestNodeList(channel);
+    }
+
     /** Sends the state of this node that the other node needs on a new connection. */
-    sendHello(channel: RpcChannel): void {
+    private sendHello(channel: RpcChannel): void {
         channel.notify("node.hello", this.ownState());
         const dependencies = this.options.dependencies.all();
         if (dependencies.length > 0) channel.notify("routes.use", { uses: dependencies });
@@ -238,6 +246,7 @@
         const node = this.applyRecord(record, "itself");
         if (node === undefined) return;
         node.canReadStore = canReadStore !== false;
+        this.links.get(node)?.reconnectNow();
         if (typeof configVersion === "number") this.onPeerConfigVersion(node, configVersion);
     }
 
--- a/test/platform/storeFollowers.test.ts
+++ b/test/platform/storeFollowers.test.ts
@@ -1,5 +1,6 @@
 /** Requests to the store of a mesh in which most nodes do not follow it. */
 import { expect } from "chai";
+import net from "node:net";
 import { followerCountOf } from "../../src/policy/storeRole.ts";
 import { PlatformMesh, waitFor, wireConfig } from "../support/platformMesh.ts";
 
@@ -46,6 +47,15 @@
         expect(mesh.store.requestCount - requestCount).to.be.at.most(10 * followerCountOf(NODE_COUNT));
     });
 
+    it("sends no state on an accepted connection, since it sends it on its own one", async () => {
+        const socket = net.connect(mesh.hosts[0]!.settings.peer.port, "127.0.0.1");
+        let receivedBytes = 0;
+        socket.on("data", chunk => receivedBytes += chunk.length);
+        await new Promise(resolve => setTimeout(resolve, 200));
+        socket.destroy();
+        expect(receivedBytes).to.equal(0);
+    });
+
     it("delivers a configuration while all followers are turned away by the store", async () => {
         const turnedAway = mesh.hosts.filter(({ node }) => node.meshNode.storeRole.kind === "follow")
             .map(({ settings }) => settings.store.host);
