--- /dev/null
+++ b/test/platform/platformStore.test.ts
@@ -0,0 +1,50 @@
+/** When a node reads the node records: of two nodes that store theirs, the later one must find the earlier one. */
+import { expect } from "chai";
+import { PlatformStore } from "../../platform/platformStore.ts";
+import type { RecordBatch, StoreClient } from "../../platform/storeClient.ts";
+import { EventLog } from "../../src/mesh/eventLog.ts";
+import { waitFor } from "../support/platformMesh.ts";
+
+describe("the node records", () => {
+    it("are read again if this node's record is stored during a read", async () => {
+        const endReads: ((batch: RecordBatch) => void)[] = [];
+        let readsAfterWrite = 0;
+        let isWritten = false;
+        const client: Pick<StoreClient, "readNewest" | "read" | "append" | "close"> = {
+            readNewest: topic =>
+                topic === "keyed.op"
+                    ? new Promise(() => undefined)
+                    : new Promise(resolve => endReads.push(resolve)),
+            read: async (_, from) => {
+                if (isWritten) readsAfterWrite++;
+                return { records: [], nextOffset: from, isOffsetOutOfRange: false };
+            },
+            append: async () => {
+                isWritten = true;
+            },
+            close: () => undefined,
+        };
+        const store = new PlatformStore(client as StoreClient, new EventLog({ write: () => undefined }));
+        store.start({
+            onConfig: () => undefined,
+            onNode: () => undefined,
+            onReachable: () => undefined,
+            role: () => ({ kind: "rest" }),
+        });
+        await waitFor("the first read", () => endReads.length === 1);
+        store.publish("n", {
+            name: "n",
+            address: "127.0.0.1:1",
+            dataCentre: "a",
+            startedAt: 1,
+            serial: 1,
+            target: undefined,
+        });
+        await waitFor("the write", () => isWritten);
+        await new Promise(resolve => setTimeout(resolve, 20));
+        endReads[0]!({ records: [], nextOffset: 0 });
+        await waitFor("a read after the write", () => readsAfterWrite === 1);
+        store.stop();
+        expect(endReads).to.have.length(1);
+    });
+});
