--- a/src/mesh/configSync.ts
+++ b/src/mesh/configSync.ts
@@ -2,7 +2,9 @@
  * Fetches a newer configuration from another node that has it. Nodes learn of each other's versions from hellos, load
  * reports, responses to pings, and announcements by nodes that read a new version from the store.
  */
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import type { StoreRole } from "../policy/storeRole.ts";
+import { steadyNow } from "./clock.ts";
 import type { EventLog } from "./eventLog.ts";
 import type { KnownNode } from "./nodeDirectory.ts";
 
@@ -11,7 +13,7 @@
     readonly configVersion: () => number;
     readonly storeRole: () => StoreRole;
     readonly nodes: () => Iterable<KnownNode>;
-    /** Requests a node's configuration, base64-encoded; empty if it has none. */
+    /** Requests a node's configuration in transfer form; empty if it has none. */
     readonly request: (node: KnownNode) => PromiseLike<unknown>;
     readonly onConfig: (encoded: Buffer, from: string) => void;
     readonly rand?: () => number;
@@ -21,10 +23,25 @@
 const FOLLOWER_DELAY_MS = 300;
 /** Spreads the requests of the other nodes over the nodes that have the configuration by then. */
 const MAX_RESTING_DELAY_MS = 150;
+/** Minimum time between two fetches, so that a node skips versions when several follow in quick succession. */
+const MIN_FETCH_INTERVAL_MS = 500;
+/** A larger configuration is rejected. */
+const MAX_CONFIG_BYTES = 64 * 1024 * 1024;
+
+/** Encodes a configuration for the transfer between nodes: most of its bytes go from one data centre to another. */
+export function toTransferForm(encoded: Buffer): string {
+    return deflateRawSync(encoded).toString("base64");
+}
+
+/** Throws if the text is not a transfer form, or the configuration is larger than `MAX_CONFIG_BYTES`. */
+export function fromTransferForm(text: string): Buffer {
+    return inflateRawSync(Buffer.from(text, "base64"), { maxOutputLength: MAX_CONFIG_BYTES });
+}
 
 export class ConfigSync {
     private isBusy = false;
     private isStopped = false;
+    private fetchedAt = -Infinity;
     private readonly rand: () => number;
 
     constructor(private readonly options: ConfigSyncOptions) {
@@ -47,22 +64,24 @@
         const delayMs = this.options.storeRole().kind === "follow"
             ? FOLLOWER_DELAY_MS
             : this.rand() * MAX_RESTING_DELAY_MS;
+        const waitMs = Math.max(delayMs, this.fetchedAt + MIN_FETCH_INTERVAL_MS - steadyNow());
         setTimeout(() => {
             void this.fetch().finally(() => {
                 this.isBusy = false;
                 if (this.chooseSource() !== undefined) this.scheduleFetch();
             });
-        }, delayMs);
+        }, waitMs);
     }
 
     private async fetch(): Promise<void> {
         const node = this.chooseSource();
         if (node === undefined || this.isStopped) return;
         const { configVersion: version } = node;
+        this.fetchedAt = steadyNow();
         try {
             const encoded = await this.options.request(node);
             if (typeof encoded === "string" && encoded !== "") {
-                this.options.onConfig(Buffer.from(encoded, "base64"), node.record.name);
+                this.options.onConfig(fromTransferForm(encoded), node.record.name);
             }
         }
         catch (err) {
--- a/src/mesh/controlStore.ts
+++ b/src/mesh/controlStore.ts
@@ -13,6 +13,8 @@
     onReachable(isReachable: boolean): void;
     /** Whether this node follows the store, at this moment. */
     role(): StoreRole;
+    /** Whether this node has a configuration, from wherever. */
+    hasConfig(): boolean;
 }
 
 export interface ControlStore {
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -201,6 +201,7 @@
             onNode: (name, record) => this.onStoredNode(name, record),
             onReachable: isReachable => this.peers.broadcastStoreReachable(isReachable),
             role: () => this.peers.storeRole(),
+            hasConfig: () => this.config !== undefined,
         });
         this.tickTimer = setInterval(() => this.tick(), TICK_MS);
         this.options.log.unlimitedEvent("started", { service: this.service, peer: this.ownAddress });
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -9,7 +9,7 @@
 import { storeRankOf, storeRoleOf } from "../policy/storeRole.ts";
 import type { StoreRole } from "../policy/storeRole.ts";
 import { steadyNow } from "./clock.ts";
-import { ConfigSync } from "./configSync.ts";
+import { ConfigSync, toTransferForm } from "./configSync.ts";
 import type { EventLog } from "./eventLog.ts";
 import type { FrameSocket } from "./frameSocket.ts";
 import { NodeDirectory, safeParseNodeRecord } from "./nodeDirectory.ts";
@@ -56,6 +56,7 @@
     private readonly configSync: ConfigSync;
     private readonly ownStoreRank: number;
     private canReadStore = true;
+    private transferForm: { readonly encoded: Buffer; readonly text: string; } | undefined;
     private isProbeWanted = false;
     private probedAt = -Infinity;
     private nodeListRequestedAt = -Infinity;
@@ -204,10 +205,19 @@
         this.rpcServer.addMethod("nodes.list", () => [...this.directory.allNodes()].map(node => node.record));
         this.rpcServer.addMethod(
             "config.fetch",
-            () => this.options.encodedConfig()?.toString("base64") ?? "",
+            () => this.configInTransferForm(),
         );
     }
 
+    private configInTransferForm(): string {
+        const encoded = this.options.encodedConfig();
+        if (encoded === undefined) return "";
+        if (this.transferForm?.encoded !== encoded) {
+            this.transferForm = { encoded, text: toTransferForm(encoded) };
+        }
+        return this.transferForm.text;
+    }
+
     /** Record of the calling node with the last target that it had, also if an earlier process had announced it. */
     private recordOfCaller(params: unknown): Partial<NodeRecord> {
         const name = typeof params === "object" && params !== null && "name" in params
--- a/test/mesh/storeRole.test.ts
+++ b/test/mesh/storeRole.test.ts
@@ -1,11 +1,11 @@
 /** Which nodes follow the store: few, enough of them under partial outages, and every node that is on its own. */
 import { expect } from "chai";
-import { ConfigSync } from "../../src/mesh/configSync.ts";
+import { ConfigSync, fromTransferForm, toTransferForm } from "../../src/mesh/configSync.ts";
 import { EventLog } from "../../src/mesh/eventLog.ts";
 import { KnownNode } from "../../src/mesh/nodeDirectory.ts";
 import { followerCountOf, storeRankOf, storeRoleOf } from "../../src/policy/storeRole.ts";
 import type { StorePeer } from "../../src/policy/storeRole.ts";
-import { waitFor } from "../support/platformMesh.ts";
+import { waitFor, wireConfig, wireRoute } from "../support/platformMesh.ts";
 
 interface Peer extends StorePeer {
     isConnected: boolean;
@@ -70,6 +70,14 @@
         return node;
     }
 
+    it("are compressed for the transfer, and restored byte by byte", () => {
+        const routes = Array.from({ length: 500 }, (_, index) => wireRoute({ path_prefix: `/p${index}/` }));
+        const encoded = Buffer.from(JSON.stringify(wireConfig(3, routes)));
+        const text = toTransferForm(encoded);
+        expect(text.length).to.be.lessThan(encoded.length / 5);
+        expect(fromTransferForm(text).equals(encoded)).to.equal(true);
+    });
+
     it("come from a node of the local data centre, and from another one if it does not deliver", async () => {
         const nodes = [makeNode("remote", "b"), makeNode("local-1", "a"), makeNode("local-2", "a")];
         const asked: string[] = [];
@@ -83,7 +91,7 @@
                 asked.push(node.record.name);
                 return node.isInLocalDataCentre
                     ? Promise.reject(new Error("lost"))
-                    : Promise.resolve(Buffer.from("config").toString("base64"));
+                    : Promise.resolve(toTransferForm(Buffer.from("config")));
             },
             onConfig: () => version = 7,
         });
--- a/test/platform/platformStore.test.ts
+++ b/test/platform/platformStore.test.ts
@@ -1,8 +1,10 @@
 /** When a node reads the node records: of two nodes that store theirs, the later one must find the earlier one. */
 import { expect } from "chai";
 import { PlatformStore } from "../../platform/platformStore.ts";
+import { StoreError } from "../../platform/storeClient.ts";
 import type { RecordBatch, StoreClient } from "../../platform/storeClient.ts";
 import { EventLog } from "../../src/mesh/eventLog.ts";
+import type { StoreRole } from "../../src/policy/storeRole.ts";
 import { waitFor } from "../support/platformMesh.ts";
 
 describe("the node records", () => {
@@ -30,6 +32,7 @@
             onNode: () => undefined,
             onReachable: () => undefined,
             role: () => ({ kind: "rest" }),
+            hasConfig: () => false,
         });
         await waitFor("the first read", () => endReads.length === 1);
         store.publish("n", {
@@ -48,3 +51,45 @@
         expect(endReads).to.have.length(1);
     });
 });
+
+describe("an outage of the store", () => {
+    /** Number of reads of the configuration in a time of 2 s in which each one fails at once. */
+    async function readsInOutage(role: StoreRole, hasConfig: boolean): Promise<number> {
+        let reads = 0;
+        const fail = (topic: string) => {
+            if (topic === "keyed.op") reads++;
+            return Promise.reject(new StoreError(503, "unavailable"));
+        };
+        const client: Pick<StoreClient, "readNewest" | "read" | "append" | "close"> = {
+            readNewest: fail,
+            read: fail,
+            append: async () => undefined,
+            close: () => undefined,
+        };
+        const store = new PlatformStore(client as StoreClient, new EventLog({ write: () => undefined }));
+        store.start({
+            onConfig: () => undefined,
+            onNode: () => undefined,
+            onReachable: () => undefined,
+            role: () => role,
+            hasConfig: () => hasConfig,
+        });
+        await new Promise(resolve => setTimeout(resolve, 2000));
+        store.stop();
+        return reads;
+    }
+
+    it("costs a node on standby, or one with a configuration that others follow, hardly any reads", async () => {
+        const follow = { kind: "follow", waitMs: 1000, isStandby: false } as const;
+        const [follower, standby, rest, unconfigured] = await Promise.all([
+            readsInOutage(follow, true),
+            readsInOutage({ ...follow, isStandby: true }, true),
+            readsInOutage({ kind: "rest" }, true),
+            readsInOutage({ kind: "rest" }, false),
+        ]);
+        expect(standby).to.be.at.most(2);
+        expect(rest).to.equal(1);
+        expect(follower).to.be.greaterThan(standby);
+        expect(unconfigured).to.be.greaterThan(standby);
+    });
+});
