--- a/src/mesh/call.ts
+++ b/src/mesh/call.ts
@@ -44,7 +44,7 @@
     "req" | "route" | "service" | "parent" | "isTraced" | "level" | "startedAt" | "deadlineAt" | "respond"
 >;
 
-/** Creates the state of a call that has had no attempt yet. A spread of the fields would cost 10 us per request. */
+/** Creates the state of a call that has had no attempt yet. The fields are listed because a spread is slow on the request path. */
 export function createCall(fields: CallFields): Call {
     return {
         req: fields.req,
