--- a/src/mesh/controlStore.ts
+++ b/src/mesh/controlStore.ts
@@ -9,6 +9,8 @@
     onConfig(encoded: Buffer): void;
     /** Called with a node's record as given to `publish`, or with `undefined` when the record was removed. */
     onNode(name: string, record: unknown): void;
+    /** Called after the records of all nodes have been delivered once. */
+    onNodesRead(): void;
     /** Called when reads begin to fail, and when one succeeds again. */
     onReachable(isReachable: boolean): void;
     /** Whether this node follows the store, at this moment. */
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -17,6 +17,7 @@
 import { Forwarder } from "./forwarder.ts";
 import { LatencySamples } from "./latencySamples.ts";
 import { LoadLog } from "./loadLog.ts";
+import { LocalTarget } from "./localTarget.ts";
 import { safeParseNodeRecord } from "./nodeDirectory.ts";
 import type { NodeDirectory } from "./nodeDirectory.ts";
 import { PauseDetector } from "./pauseDetector.ts";
@@ -24,9 +25,7 @@
 import { PeerServer } from "./peerServer.ts";
 import type { TargetProtocol } from "./protocol.ts";
 import { Runner } from "./runner.ts";
-import { TargetRegistration } from "./targetRegistration.ts";
 import type { Announcement } from "./targetRegistration.ts";
-import { TargetRestorer } from "./targetRestorer.ts";
 import type { ConfigResult, MeshConfig, NodeRecord, TargetRecord } from "./types.ts";
 
 export interface HostPort {
@@ -77,7 +76,7 @@
     private readonly peers: Peers;
     private readonly peerServer: PeerServer;
     private readonly retryBudget: RetryBudget;
-    private readonly registration: TargetRegistration;
+    private readonly localTarget: LocalTarget;
     private readonly routeDependencies = new RouteDependencyMap();
     private readonly pauseDetector = new PauseDetector(TICK_MS);
     private readonly cutoffBroadcast = new CutoffBroadcast(MAX_LEVEL);
@@ -90,14 +89,12 @@
     private refuseRunsTimer: NodeJS.Timeout | undefined;
     private ticks = 0;
     private tickTimer: NodeJS.Timeout | undefined;
-    private readonly restorer: TargetRestorer;
     private readonly loadLog: LoadLog;
     /** This node's record as it was last read from the store or written to it. */
     private storedRecord: NodeRecord | undefined;
 
     constructor(private readonly options: MeshNodeOptions) {
         this.service = options.service;
-        this.registration = new TargetRegistration(`${options.target.host}:${options.target.port}`);
         this.retryBudget = new RetryBudget(options.retryBudget);
         this.runner = new Runner({
             ...options.target,
@@ -107,13 +104,11 @@
             protocol: options.protocol,
             entryCutoffOf: service => this.forwarder.entryCutoffOf(service),
         });
-        this.restorer = new TargetRestorer({
+        this.localTarget = new LocalTarget({
+            address: `${options.target.host}:${options.target.port}`,
             healthPathOf: service => this.config?.services.get(service)?.healthPath,
             checkHealth: (path, onChecked) => this.runner.checkHealth(path, onChecked),
-            onRestored: target => {
-                const isRestored = this.stoppingSince === undefined && this.registration.restore(target);
-                if (isRestored) this.applyTargetRecord(undefined);
-            },
+            onRecorded: previous => this.applyTargetRecord(previous),
         });
         this.loadLog = new LoadLog({
             log: options.log,
@@ -129,7 +124,7 @@
             encodedConfig: () => this.config?.encoded,
             onConfig: (encoded, from) => this.onConfig(encoded, from),
             dependencies: this.routeDependencies,
-            restorer: this.restorer,
+            targetHistory: this.localTarget.history,
             onNodeCountChange: nodes => this.retryBudget.setNodeCount(nodes),
         });
         this.forwarder = new Forwarder({
@@ -199,6 +194,7 @@
         this.options.store.start({
             onConfig: encoded => this.onConfig(encoded, "store"),
             onNode: (name, record) => this.onStoredNode(name, record),
+            onNodesRead: () => this.localTarget.history.onStoreRead(),
             onReachable: isReachable => this.peers.broadcastStoreReachable(isReachable),
             role: () => this.peers.storeRole(),
             hasConfig: () => this.config !== undefined,
@@ -212,14 +208,11 @@
     }
 
     onAnnouncement(announcement: Announcement): void {
-        const previous = this.registration.record;
-        if (!this.registration.recordAnnouncement(announcement)) return;
-        this.applyTargetRecord(previous);
+        this.localTarget.onAnnouncement(announcement);
     }
 
     onTargetGone(id: string): void {
-        const previous = this.registration.record;
-        if (this.registration.markGone(id)) this.applyTargetRecord(previous);
+        this.localTarget.onDeregister(id);
     }
 
     /** Drains and closes the node; resolves before the grace period ends. All calls return the same promise. */
@@ -238,10 +231,9 @@
             () => this.startRefusingRuns(),
             this.options.graceMs * SHUTDOWN_PEER_RUNS_SHARE,
         );
-        // If the target keeps running, the node will restart at the same address, so its record stays in the store.
-        if (this.registration.record === undefined || this.registration.record.state === "gone") {
-            this.options.store.publish(this.options.name, undefined);
-        }
+        this.localTarget.history.close();
+        if (this.localTarget.record === undefined) this.options.store.publish(this.options.name, undefined);
+        else if (this.localTarget.record.state === "gone") this.publishToStore();
         await this.waitUntilDrained();
         this.options.log.unlimitedEvent("stopped", {
             active: this.forwarder.activeCount,
@@ -250,7 +242,7 @@
         this.close();
     }
 
-    /** Refuses other nodes' runs and announces the target as draining, so that neither they nor this node choose it. */
+    /** Refuses other nodes' runs and tells them so, so that neither they nor this node choose its target. */
     private startRefusingRuns(): void {
         this.isRefusingRuns = true;
         this.broadcastRecord();
@@ -289,7 +281,7 @@
         this.broadcastCutoff(now);
         this.peers.tick(now);
         if (++this.ticks % TICKS_PER_SECOND !== 0) return;
-        this.loadLog.write(now, this.registration.record);
+        this.loadLog.write(now, this.localTarget.record);
         this.peerServer.tick(now);
         this.clientServer.checkTimeouts(now);
     }
@@ -303,7 +295,7 @@
 
     /** Passes the target's current record to the runner. Sends and stores it if it differs from the previous one. */
     private applyTargetRecord(previous: TargetRecord | undefined): void {
-        const { record } = this.registration;
+        const { record } = this.localTarget;
         this.runner.setTarget(record);
         if (isSameTarget(previous, record)) return;
         this.options.log.unlimitedEvent("target", {
@@ -321,15 +313,21 @@
         this.peers.broadcastOwnRecord();
     }
 
-    /** Stores this node's record if its address or target is new. The target's state is not replaced by `draining`. */
+    /**
+     * Stores this node's record if its address or target is new. A node that stops after its target has left stores that,
+     * too: other nodes then forget it, but its next process needs to know, since the target may still run.
+     */
     private publishToStore(): void {
-        const record = { ...this.ownRecord(), target: this.registration.record };
+        const target = this.localTarget.record;
+        const isStopping = this.stoppingSince !== undefined;
         // A stopping node stores a target only if it is no longer ready, so that the next process does not restore it.
-        if (this.stoppingSince !== undefined && record.target?.state === "ready") return;
-        const { storedRecord } = this;
-        if (storedRecord?.address === record.address && isSameTarget(storedRecord.target, record.target)) {
-            return;
-        }
+        if (isStopping && target?.state === "ready") return;
+        const hasLeft = isStopping && target?.state === "gone" || undefined;
+        const record = { ...this.ownRecord(), isRefusingRuns: undefined, hasLeft };
+        const { storedRecord: stored } = this;
+        const isStored = stored?.address === record.address && isSameTarget(stored.target, target)
+            && stored.hasLeft === hasLeft;
+        if (isStored) return;
         this.storedRecord = record;
         this.options.store.publish(this.options.name, record);
     }
@@ -339,14 +337,14 @@
     }
 
     private ownRecord(): NodeRecord {
-        const { record } = this.registration;
         return {
             name: this.options.name,
             address: this.ownAddress,
             dataCentre: this.options.dataCentre,
             startedAt: this.options.startedAt,
             serial: this.serial,
-            target: record !== undefined && this.isRefusingRuns ? { ...record, state: "draining" } : record,
+            target: this.localTarget.record,
+            isRefusingRuns: this.isRefusingRuns || undefined,
         };
     }
 
@@ -355,17 +353,18 @@
         else this.peers.onStoredRecord(name, input);
     }
 
-    /** Starts to restore the target that an earlier process stored, so that it is usable before its next heartbeat. */
+    /**
+     * Handles the record that an earlier process of this node stored. If its write was executed late, after a write of
+     * this process, the record of this process is stored again.
+     */
     private onStoredOwnRecord(input: unknown): void {
         const record = safeParseNodeRecord(input);
-        if (
-            record === undefined || record.startedAt === this.options.startedAt
-            || this.storedRecord !== undefined
-        ) return;
+        if (record === undefined || record.startedAt === this.options.startedAt) return;
+        const isOverwritten = this.storedRecord !== undefined;
         this.storedRecord = record;
-        if (record.target?.state !== "ready" || this.registration.record !== undefined) return;
-        this.restorer.start(record.target);
+        this.localTarget.history.onStoredTarget(record.target);
         this.peers.requestOwnRecord();
+        if (isOverwritten) this.publishToStore();
     }
 
     /** Applies a configuration unless it cannot be decoded or is not newer than the one in force. */
@@ -384,7 +383,7 @@
         this.config = config;
         this.forwarder.onNewConfig();
         if (from === "store") this.peerServer.broadcastConfigVersion(config.version);
-        this.restorer.tryRestore();
+        this.localTarget.history.onConfig();
         this.options.log.unlimitedEvent("config", {
             version: config.version,
             hosts: config.routesByHost.size,
--- a/src/mesh/nodeDirectory.ts
+++ b/src/mesh/nodeDirectory.ts
@@ -12,6 +12,8 @@
 import type { LoadReport, NodeRecord, TargetRecord } from "./types.ts";
 
 const MAX_PORT = 65_535;
+/** Maximum number of removed nodes whose last target is kept. */
+const MAX_REMOVED_TARGETS = 256;
 const shortTextSchema = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
 
 /** An IPv4 address and a port: with any other one, opening a connection throws or looks up a name. */
@@ -31,6 +33,8 @@
         slots: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000)),
         bornAt: safeCountSchema,
     })),
+    isRefusingRuns: v.optional(v.literal(true)),
+    hasLeft: v.optional(v.literal(true)),
 });
 
 function isIpv4Address(address: string): boolean {
@@ -52,6 +56,8 @@
     reportedAt = 0;
     avoidUntil = 0;
     isConnected = false;
+    /** Whether the node has stored that it stops for good, so that it is removed with its connection. */
+    hasLeft = false;
     /** Version of the node's configuration, as it last reported; 0 if unknown. */
     configVersion = 0;
     /** Whether the node can read the store, as it last reported. */
@@ -77,7 +83,8 @@
     }
 
     get isUsable(): boolean {
-        return this.isConnected && this.record.target?.state === "ready";
+        return this.isConnected && this.record.target?.state === "ready"
+            && this.record.isRefusingRuns !== true;
     }
 
     recordLoadReport(report: LoadReport, now: number): void {
@@ -105,6 +112,8 @@
     private readonly nodes = new Map<string, KnownNode>();
     private readonly namesByAddress = new Map<string, string>();
     private readonly nodesByService = new Map<string, KnownNode[]>();
+    /** Last targets of removed nodes, by the nodes' names. */
+    private readonly removedTargets = new Map<string, TargetRecord>();
 
     constructor(private readonly options: NodeDirectoryOptions) {}
 
@@ -152,6 +161,7 @@
             existing.cutoff = MAX_LEVEL;
             existing.avoidUntil = 0;
             existing.canReadStore = true;
+            existing.hasLeft = false;
         }
         const hasOtherService = record.target?.service !== existing.record.target?.service;
         if (hasOtherService) this.removeFromServiceIndex(existing);
@@ -167,6 +177,7 @@
         this.nodes.delete(name);
         this.namesByAddress.delete(node.record.address);
         this.removeFromServiceIndex(node);
+        this.keepTargetOf(node);
         this.options.onRemoved(node);
     }
 
@@ -187,12 +198,22 @@
     private add(record: NodeRecord): void {
         const isSelf = record.name === this.options.name;
         const node = new KnownNode(record, isSelf, record.dataCentre === this.options.dataCentre);
+        node.lastTarget ??= this.removedTargets.get(record.name);
         this.nodes.set(record.name, node);
         this.namesByAddress.set(record.address, record.name);
         this.addToServiceIndex(node);
         this.options.onAdded(node);
     }
 
+    /** The node may start again, and its target may still run although it has deregistered. */
+    private keepTargetOf({ record: { name }, lastTarget }: KnownNode): void {
+        if (lastTarget === undefined) return;
+        this.removedTargets.delete(name);
+        const [oldestName] = this.removedTargets.keys();
+        if (this.removedTargets.size >= MAX_REMOVED_TARGETS) this.removedTargets.delete(oldestName!);
+        this.removedTargets.set(name, lastTarget);
+    }
+
     private addToServiceIndex(node: KnownNode): void {
         const service = node.record.target?.service;
         if (service === undefined) return;
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -16,7 +16,7 @@
 import type { KnownNode, RecordSource } from "./nodeDirectory.ts";
 import { PeerLink } from "./peerLink.ts";
 import type { OutcomeListener } from "./peerLink.ts";
-import type { TargetRestorer } from "./targetRestorer.ts";
+import type { TargetHistory } from "./targetHistory.ts";
 import type { ForwardedRequest, NodeRecord } from "./types.ts";
 
 export interface PeersOptions {
@@ -31,7 +31,7 @@
     readonly dependencies: RouteDependencyMap;
     readonly onNodeCountChange: (nodeCount: number) => void;
     /** Wants to know what other nodes know of this one, after a restart. */
-    readonly restorer?: Pick<TargetRestorer, "isWaiting" | "onPeerRecord">;
+    readonly targetHistory?: Pick<TargetHistory, "isWaiting" | "onPeerRecord">;
 }
 
 const dependenciesSchema = v.object({
@@ -149,13 +149,29 @@
         if (input !== undefined) {
             const record = safeParseNodeRecord(input);
             // A record under the key of another node was not written by the node that it describes.
-            if (record?.name === name) this.applyRecord(record, "store");
+            if (record?.name === name && record.hasLeft === true) this.onNodeLeft(record);
+            else if (record?.name === name) this.applyRecord(record, "store");
             else this.options.log.event("node-unreadable", { key: name.slice(0, MAX_LOGGED_KEY_LENGTH) });
             return;
         }
         const node = this.directory.get(name);
-        // A stopping node removes its record while it still runs requests, so a connected node is kept. The loss of its
-        // connection then makes it unusable.
+        if (node !== undefined) node.hasLeft = true;
+        this.removeUnlessConnected(name);
+    }
+
+    /** Handles the record of a node that stopped after its target had left. */
+    private onNodeLeft(record: NodeRecord): void {
+        const node = this.directory.get(record.name);
+        if (node === undefined || node.record.startedAt > record.startedAt) return;
+        this.applyRecord(record, "store");
+        node.hasLeft = true;
+        this.removeUnlessConnected(record.name);
+    }
+
+    private removeUnlessConnected(name: string): void {
+        const node = this.directory.get(name);
+        // A stopping node stores that it has left while it still runs requests, so a connected node is kept. It is
+        // removed when its connection is lost.
         if (node !== undefined && !node.isConnected) this.directory.remove(name);
     }
 
@@ -170,10 +186,10 @@
     }
 
     private requestOwnRecordFrom(link: PeerLink): void {
-        const { restorer, name } = this.options;
-        if (restorer?.isWaiting !== true) return;
+        const { targetHistory, name } = this.options;
+        if (targetHistory?.isWaiting !== true) return;
         link.request("node.known", { name }).then(
-            record => restorer.onPeerRecord(record),
+            record => targetHistory.onPeerRecord(record),
             (err: unknown) => this.options.log.event("node-known-failed", { cause: String(err) }),
         );
     }
@@ -308,6 +324,7 @@
             onDisconnected: () => {
                 node.isConnected = false;
                 this.options.log.event("link-down", { name: node.record.name, pending: node.inFlight });
+                if (node.hasLeft) this.directory.remove(node.record.name);
             },
         });
         this.links.set(node, link);
--- a/src/mesh/types.ts
+++ b/src/mesh/types.ts
@@ -65,7 +65,7 @@
 
 /**
  * State of a target according to its announcements and its deregistration. Nodes store it and send it to each other as
- * part of `NodeRecord`. A stopping node sends the state `draining` once it refuses runs from other nodes.
+ * part of `NodeRecord`.
  */
 export interface TargetRecord {
     readonly id: string;
@@ -89,6 +89,10 @@
     readonly startedAt: number;
     readonly serial: number;
     readonly target: TargetRecord | undefined;
+    /** Set if the node is stopping and refuses runs from other nodes. */
+    readonly isRefusingRuns?: true | undefined;
+    /** Set if the node stopped after its target had left. Only a new process at the same address needs the record. */
+    readonly hasLeft?: true | undefined;
 }
 
 /**
--- a/src/policy/storeRole.ts
+++ b/src/policy/storeRole.ts
@@ -18,8 +18,16 @@
 }
 
 export type StoreRole =
-    /** Keep a read pending, for up to `waitMs`. `isStandby`: only because nodes with lower ranks cannot read the store. */
-    | { readonly kind: "follow"; readonly waitMs: number; readonly isStandby: boolean; }
+    /**
+     * Keep a read pending, for up to `waitMs`. `isStandby`: only because nodes with lower ranks cannot read the store.
+     * `isFirst`: no connected node has a lower rank, so this one also removes records that nobody needs.
+     */
+    | {
+        readonly kind: "follow";
+        readonly waitMs: number;
+        readonly isStandby: boolean;
+        readonly isFirst: boolean;
+    }
     | { readonly kind: "rest"; };
 
 /** With fewer, a partial outage of the store could affect all followers. */
@@ -53,5 +61,5 @@
     const followerCount = followerCountOf(nodeCount);
     if (readersAhead >= followerCount) return { kind: "rest" };
     const waitMs = nodeCount > followerCount ? SHORT_WAIT_MS : LONG_WAIT_MS;
-    return { kind: "follow", waitMs, isStandby: ahead >= followerCount };
+    return { kind: "follow", waitMs, isStandby: ahead >= followerCount, isFirst: ahead === 0 };
 }
--- /dev/null
+++ b/test/mesh/localTarget.test.ts
@@ -0,0 +1,121 @@
+/**
+ * Guards against a target that has left, or begun to leave, being used again after a restart of its node: a heartbeat
+ * from before may arrive later than everything else.
+ */
+import { expect } from "chai";
+import { LocalTarget } from "../../src/mesh/localTarget.ts";
+import type { Announcement } from "../../src/mesh/targetRegistration.ts";
+import type { TargetRecord, TargetState } from "../../src/mesh/types.ts";
+
+const ADDRESS = "127.0.0.1:8000";
+const BORN_AT = 1_700_000_000_000;
+
+function announce(fields: Partial<Announcement> = {}): Announcement {
+    return {
+        id: "i-1",
+        service: "shop",
+        address: ADDRESS,
+        state: "ready",
+        slots: 20,
+        sequence: 5,
+        bornAt: BORN_AT,
+        ...fields,
+    };
+}
+
+function targetIn(state: TargetState, fields: Partial<TargetRecord> = {}): TargetRecord {
+    return { id: "i-1", service: "shop", state, slots: 20, bornAt: BORN_AT, ...fields };
+}
+
+function peerRecord(target: TargetRecord | undefined): unknown {
+    return { name: "n", address: "127.0.0.1:1", dataCentre: "a", startedAt: 1, serial: 1, target };
+}
+
+describe("the local target of a restarted node", () => {
+    let target: LocalTarget;
+
+    beforeEach(() => {
+        target = new LocalTarget({
+            address: ADDRESS,
+            healthPathOf: () => "/health",
+            checkHealth: (_, onChecked) => onChecked("i-1"),
+            onRecorded: () => undefined,
+        });
+    });
+
+    afterEach(() => target.history.close());
+
+    const state = () => target.record?.state;
+    const settle = () => new Promise(resolve => setTimeout(resolve, 300));
+
+    for (const left of ["draining", "gone"] as const) {
+        it(`stays ${left} if the store says so and a late heartbeat arrives before, between or after`, async () => {
+            target.onAnnouncement(announce());
+            expect(state()).to.equal(undefined);
+            target.history.onStoredTarget(targetIn(left));
+            target.onAnnouncement(announce({ sequence: 6 }));
+            await settle();
+            target.onAnnouncement(announce({ sequence: 7 }));
+            expect(state()).to.equal(left);
+        });
+
+        it(`stays ${left} if another node says so in time, or later than the store`, async () => {
+            target.history.onStoredTarget(targetIn("ready"));
+            target.onAnnouncement(announce());
+            target.history.onPeerRecord(peerRecord(targetIn(left)));
+            await settle();
+            expect(state()).to.equal(left);
+        });
+    }
+
+    it("is taken out of use by another node's record that arrives after the question was settled", async () => {
+        target.history.onStoredTarget(targetIn("ready"));
+        await settle();
+        expect(state()).to.equal("ready");
+        target.history.onPeerRecord(peerRecord(targetIn("gone")));
+        expect(state()).to.equal("gone");
+    });
+
+    it("is not taken from a node that restarted as well, while the store has not been read", () => {
+        target.onAnnouncement(announce());
+        target.history.onPeerRecord({});
+        target.history.onStoredTarget(targetIn("gone"));
+        expect(state()).to.equal("gone");
+    });
+
+    it("is used within 300 ms of the store's answer if it is a new start, under the same or another id", async () => {
+        for (
+            const next of [
+                announce({ bornAt: BORN_AT + 1, sequence: 1 }),
+                announce({ id: "i-2", bornAt: BORN_AT + 1 }),
+            ]
+        ) {
+            target.history.onStoredTarget(targetIn("gone"));
+            target.onAnnouncement(next);
+            await settle();
+            expect(target.record).to.deep.include({ id: next.id, state: "ready" });
+        }
+    });
+
+    it("is used at once if no earlier process has stored anything", () => {
+        target.onAnnouncement(announce());
+        target.history.onStoreRead();
+        expect(state()).to.equal("ready");
+    });
+
+    it("is used in the end if a configuration is in force but neither the store nor a node answers", async () => {
+        target.onAnnouncement(announce());
+        target.history.onConfig();
+        await new Promise(resolve => setTimeout(resolve, 1050));
+        expect(state()).to.equal("ready");
+    });
+
+    it("stays gone if it deregistered while nothing was known of it", () => {
+        target.onDeregister("i-1");
+        target.history.onStoreRead();
+        target.onAnnouncement(announce());
+        expect(state()).to.equal("gone");
+        target.onAnnouncement(announce({ bornAt: Date.now() + 1, sequence: 1 }));
+        expect(state()).to.equal("ready");
+    });
+});
--- a/test/platform/platformStore.test.ts
+++ b/test/platform/platformStore.test.ts
@@ -30,6 +30,7 @@
         store.start({
             onConfig: () => undefined,
             onNode: () => undefined,
+            onNodesRead: () => undefined,
             onReachable: () => undefined,
             role: () => ({ kind: "rest" }),
             hasConfig: () => false,
@@ -70,6 +71,7 @@
         store.start({
             onConfig: () => undefined,
             onNode: () => undefined,
+            onNodesRead: () => undefined,
             onReachable: () => undefined,
             role: () => role,
             hasConfig: () => hasConfig,
@@ -80,7 +82,7 @@
     }
 
     it("costs a node on standby, or one with a configuration that others follow, hardly any reads", async () => {
-        const follow = { kind: "follow", waitMs: 1000, isStandby: false } as const;
+        const follow = { kind: "follow", waitMs: 1000, isStandby: false, isFirst: false } as const;
         const [follower, standby, rest, unconfigured] = await Promise.all([
             readsInOutage(follow, true),
             readsInOutage({ ...follow, isStandby: true }, true),
--- a/test/support/standinStore.ts
+++ b/test/support/standinStore.ts
@@ -86,7 +86,7 @@
         const topic = url.searchParams.get("topic")!;
         switch (url.pathname) {
             case "/log-append":
-                return this.respondToAppend(topic, body, res);
+                return this.respondToAppend(topic, url.searchParams.get("at"), body, res);
             case "/log-newest":
                 return this.respondToNewest(topic, res);
             case "/log-read":
@@ -96,7 +96,9 @@
         }
     }
 
-    private respondToAppend(topic: string, body: Buffer, res: http.ServerResponse): void {
+    private respondToAppend(topic: string, at: string | null, body: Buffer, res: http.ServerResponse): void {
+        const end = this.recordsOf(topic).length;
+        if (at !== null && Number(at) !== end) return void res.writeHead(412).end(JSON.stringify({ end }));
         const record = body.subarray(4);
         const keyBytes = record[0]!;
         this.append(topic, {
--- a/test/support/standinTarget.ts
+++ b/test/support/standinTarget.ts
@@ -29,6 +29,9 @@
     readonly downstreamCall?: { readonly host: string; readonly path: string; };
 }
 
+/** The node may be stopped and started between two calls. */
+const CLOSE = { Connection: "close" };
+
 export interface ExecutedRequest {
     readonly id: string;
     readonly path: string;
@@ -43,13 +46,15 @@
     /** Ids of the requests whose connection was closed before the response was complete. */
     readonly abortedIds: string[] = [];
     id: string;
+    private service: string;
     private sequence = 0;
-    private readonly bornAt = Date.now();
+    private bornAt = Date.now();
     private readonly heldResponses: (() => void)[] = [];
     private readonly server = http.createServer((req, res) => this.receive(req, res));
 
     constructor(private readonly options: StandinTargetOptions) {
         this.id = options.id;
+        this.service = options.service;
     }
 
     async start(): Promise<void> {
@@ -61,6 +66,14 @@
         this.server.closeAllConnections();
     }
 
+    /** Begins a new start of the target at the same address, mostly with another id. */
+    restart(id: string, service = this.service): void {
+        this.id = id;
+        this.service = service;
+        this.sequence = 0;
+        this.bornAt = Date.now();
+    }
+
     /** Sends the responses that mode `hold` has delayed. */
     releaseHeldResponses(): void {
         for (const sendResponse of this.heldResponses.splice(0)) sendResponse();
@@ -69,7 +82,7 @@
     /** Sends a heartbeat to the node; returns the status of the response. */
     async heartbeat(state = "ready"): Promise<number> {
         const body = {
-            service: this.options.service,
+            service: this.service,
             address: `127.0.0.1:${this.options.port}`,
             zone: "a",
             version: "v1",
@@ -80,13 +93,14 @@
             born: this.bornAt,
         };
         const url = `http://127.0.0.1:${this.options.heartbeatPort}/instances/${this.id}`;
-        return (await fetch(url, { method: "PUT", body: JSON.stringify(body) })).status;
+        return (await fetch(url, { method: "PUT", headers: CLOSE, body: JSON.stringify(body) })).status;
     }
 
     /** Deregisters the target from the node. */
     async deregister(): Promise<void> {
         await fetch(`http://127.0.0.1:${this.options.heartbeatPort}/instances/${this.id}`, {
             method: "DELETE",
+            headers: CLOSE,
         });
     }
 
