--- a/src/mesh/frameSocket.ts
+++ b/src/mesh/frameSocket.ts
@@ -72,9 +72,7 @@
      */
     tick(now: number, keepaliveMs: number): boolean {
         if (this.pingSentAt === undefined) {
-            if (now - this.lastReadAt < keepaliveMs) return false;
-            this.pingSentAt = now;
-            this.write(encodeSignal("ping", 0));
+            if (now - this.lastReadAt >= keepaliveMs) this.ping(now);
             return false;
         }
         if (now - this.pingSentAt <= KEEPALIVE_TIMEOUT_MS) return false;
@@ -82,6 +80,17 @@
         return true;
     }
 
+    /** When data last arrived; `undefined` while a ping is on its way. */
+    get silentSince(): number | undefined {
+        return this.pingSentAt === undefined ? this.lastReadAt : undefined;
+    }
+
+    /** Sends a ping. If no data follows, a later `tick` closes the connection. */
+    ping(now: number): void {
+        this.pingSentAt = now;
+        this.write(encodeSignal("ping", 0));
+    }
+
     destroy(): void {
         this.socket.destroy();
     }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -359,7 +359,7 @@
      */
     private onStoredOwnRecord(input: unknown): void {
         const record = safeParseNodeRecord(input);
-        if (record === undefined || record.startedAt === this.options.startedAt) return;
+        if (record?.name !== this.options.name || record.startedAt === this.options.startedAt) return;
         const isOverwritten = this.storedRecord !== undefined;
         this.storedRecord = record;
         this.localTarget.history.onStoredTarget(record.target);
--- a/src/mesh/peerLink.ts
+++ b/src/mesh/peerLink.ts
@@ -1,6 +1,7 @@
 /** Connection on which this node sends requests to another node. A lost connection is reopened with backoff. */
 import type { JSONRPCServer } from "json-rpc-2.0";
 import net from "node:net";
+import { steadyNow } from "./clock.ts";
 import { encodeRequest, encodeSignal } from "./frames.ts";
 import { FrameSocket } from "./frameSocket.ts";
 import type { DataPlaneFrame } from "./frameSocket.ts";
@@ -79,6 +80,15 @@
         return this.frameSocket?.tick(now, keepaliveMs) === true;
     }
 
+    /** When data last arrived; `undefined` if there is no connection, or a ping is already on its way. */
+    get silentSince(): number | undefined {
+        return this.frameSocket?.silentSince;
+    }
+
+    ping(now: number): void {
+        this.frameSocket?.ping(now);
+    }
+
     /** If the link waits for its next attempt to connect, connects now. Called when the other node's record changes. */
     reconnectNow(): void {
         if (this.reconnectTimer === undefined) return;
@@ -125,6 +135,8 @@
             onConfigVersion: this.options.onConfigVersion,
             onError: this.options.onError,
         });
+        // The pong tells the other node's configuration version, which this one may have missed.
+        this.frameSocket.ping(steadyNow());
         this.options.onConnected(this);
     }
 
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -44,6 +44,11 @@
 const MIN_PROBE_INTERVAL_MS = 1000;
 /** Time without received data after which a probe pings a connection. */
 const PROBE_KEEPALIVE_MS = 300;
+/**
+ * Interval at which the connection that has been silent for longest is pinged. All connections can go silent at the
+ * same moment; the first failed ping shows it, and the probe of the others follows.
+ */
+const SENTINEL_INTERVAL_MS = 500;
 const MAX_LOGGED_KEY_LENGTH = 100;
 const NODE_LIST_REQUEST_INTERVAL_MS = 500;
 /** A node that knows no more nodes than this, itself included, requests the other node's list on a new connection. */
@@ -59,6 +64,7 @@
     private transferForm: { readonly encoded: Buffer; readonly text: string; } | undefined;
     private isProbeWanted = false;
     private probedAt = -Infinity;
+    private sentinelPingedAt = -Infinity;
     private nodeListRequestedAt = -Infinity;
 
     constructor(private readonly options: PeersOptions) {
@@ -104,6 +110,21 @@
         for (const link of this.links.values()) {
             if (link.tick(now, keepaliveMs)) this.isProbeWanted = true;
         }
+        this.pingLongestSilent(now);
+    }
+
+    private pingLongestSilent(now: number): void {
+        if (now - this.sentinelPingedAt < SENTINEL_INTERVAL_MS) return;
+        this.sentinelPingedAt = now;
+        let longest: PeerLink | undefined;
+        let longestSince = now - SENTINEL_INTERVAL_MS;
+        for (const link of this.links.values()) {
+            const since = link.silentSince;
+            if (since === undefined || since > longestSince) continue;
+            longest = link;
+            longestSince = since;
+        }
+        longest?.ping(now);
     }
 
     close(): void {
--- a/src/policy/storeRole.ts
+++ b/src/policy/storeRole.ts
@@ -32,9 +32,16 @@
 
 /** With fewer, a partial outage of the store could affect all followers. */
 const MIN_FOLLOWERS = 24;
-/** Longest wait of a read while every node follows the store. */
+/**
+ * Number of followers that watch the store, i.e. whose reads wait for a short time only. Connections can go silent
+ * without an end; a follower detects that at the end of its wait. The watchers do so in time for all nodes.
+ */
+const WATCHER_COUNT = 3;
+/** Longest wait of a watcher's read: with the response timeout, less than the 3 s after which a node must be up to date. */
+const WATCHER_WAIT_MS = 1500;
+/** Longest wait of the other followers while every node follows the store. */
 const LONG_WAIT_MS = 20_000;
-/** Longest wait while others depend on this node: a follower detects a dead connection only after this time. */
+/** Longest wait of the other followers while nodes that rest depend on them. */
 const SHORT_WAIT_MS = 10_000;
 
 /** Rank of a node among those that may follow the store: the same on all nodes, independent of where the node runs. */
@@ -60,6 +67,7 @@
     }
     const followerCount = followerCountOf(nodeCount);
     if (readersAhead >= followerCount) return { kind: "rest" };
-    const waitMs = nodeCount > followerCount ? SHORT_WAIT_MS : LONG_WAIT_MS;
+    const followerWaitMs = nodeCount > followerCount ? SHORT_WAIT_MS : LONG_WAIT_MS;
+    const waitMs = readersAhead < WATCHER_COUNT ? WATCHER_WAIT_MS : followerWaitMs;
     return { kind: "follow", waitMs, isStandby: ahead >= followerCount, isFirst: ahead === 0 };
 }
--- a/test/platform/storeFollowers.test.ts
+++ b/test/platform/storeFollowers.test.ts
@@ -5,6 +5,9 @@
 import { PlatformMesh, waitFor, wireConfig } from "../support/platformMesh.ts";
 
 const NODE_COUNT = 32;
+/** Bounds of the platform: time after a disruption in which nodes need not be up to date, and time to apply a change. */
+const STABLE_WINDOW_MS = 3000;
+const CONFIG_APPLY_MS = 2000;
 /** Time in which the nodes settle: longer than the time until a node takes its role. */
 const SETTLE_MS = 2500;
 
@@ -56,6 +59,15 @@
         expect(receivedBytes).to.equal(0);
     });
 
+    // Guards against CONFIG: an old configuration in force while no connection to the store says anything.
+    it("delivers a configuration although all open connections to the store went silent before", async () => {
+        mesh.store.silenceConnections();
+        await new Promise(resolve => setTimeout(resolve, STABLE_WINDOW_MS));
+        mesh.store.putConfig(wireConfig(28));
+        await new Promise(resolve => setTimeout(resolve, CONFIG_APPLY_MS));
+        expect(versions().filter(version => version !== 28)).to.deep.equal([]);
+    });
+
     it("delivers a configuration while all followers are turned away by the store", async () => {
         const turnedAway = mesh.hosts.filter(({ node }) => node.meshNode.storeRole.kind === "follow")
             .map(({ settings }) => settings.store.host);
