--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -7,18 +7,17 @@
 import type { RequestHead } from "../http/messageHead.ts";
 import type { HttpMessage } from "../http/messageReader.ts";
 import { levelOf, MAX_LEVEL } from "../policy/admissionLevel.ts";
-import { EntryCutoffs } from "../policy/entryCutoff.ts";
 import { OverloadTracker } from "../policy/overloadTracker.ts";
 import { isOverloadReason } from "../policy/retryAfter.ts";
 import type { RefusalContext } from "../policy/retryAfter.ts";
-import type { RetryBudget } from "../policy/retryBudget.ts";
 import { decideRetry, mayHaveReachedTarget, mayHedge, retryCharges } from "../policy/retryDecision.ts";
-import { RouteCircuitBreaker } from "../policy/routeCircuitBreaker.ts";
-import type { RouteDependencies, RouteDependencyMap } from "../policy/routeDependencies.ts";
+import type { RouteDependencies } from "../policy/routeDependencies.ts";
 import { RouteLatencies } from "../policy/routeLatency.ts";
 import { findRoute, TrafficSplitter } from "../policy/routeTable.ts";
 import { createCall, maxTargetWaitMs, refusalReasonOf } from "./call.ts";
 import type { Call } from "./call.ts";
+import { CallAdmission } from "./callAdmission.ts";
+import type { CallAdmissionOptions } from "./callAdmission.ts";
 import { CallLog } from "./callLog.ts";
 import { steadyNow } from "./clock.ts";
 import type { Counters } from "./counters.ts";
@@ -34,16 +33,13 @@
     Pick<
         DispatcherOptions,
         "ownService" | "directory" | "runner" | "sendToNode" | "onConfigVersion"
-    >
+    >,
+    CallAdmissionOptions
 {
     readonly config: () => MeshConfig | undefined;
-    readonly retryBudget: RetryBudget;
     readonly counters: Counters;
     readonly latencies: LatencySamples;
     readonly log: EventLog;
-    /** Whether client requests are refused because the process is about to exit. */
-    readonly isRefusingClients: () => boolean;
-    readonly dependencies: RouteDependencyMap;
     readonly onNewDependency: (dependencies: RouteDependencies) => void;
     readonly rand?: () => number;
 }
@@ -58,8 +54,7 @@
 
 export class Forwarder {
     private readonly trafficSplitter = new TrafficSplitter();
-    private readonly entryCutoffs: EntryCutoffs;
-    private readonly circuitBreaker = new RouteCircuitBreaker();
+    private readonly admission: CallAdmission;
     private readonly routeLatencies = new RouteLatencies();
     private readonly overloadTracker = new OverloadTracker();
     private readonly callLog: CallLog;
@@ -69,7 +64,7 @@
 
     constructor(private readonly options: ForwarderOptions) {
         this.rand = options.rand ?? Math.random;
-        this.entryCutoffs = new EntryCutoffs(service => options.directory.nodesOfService(service));
+        this.admission = new CallAdmission(options, this.rand);
         this.callLog = new CallLog({ log: options.log, configVersion: () => options.config()?.version });
         this.dispatcher = new Dispatcher({ ...options, callLog: this.callLog, rand: this.rand });
     }
@@ -80,7 +75,7 @@
 
     /** Entry cutoff of a service alone; that of a request may be lower, due to a dependency (see `cutoffFor`). */
     entryCutoffOf(service: string): number {
-        return this.entryCutoffs.cutoffOf(service, steadyNow());
+        return this.admission.cutoffOf(service, steadyNow());
     }
 
     onNewConfig(): void {
@@ -150,31 +145,16 @@
         return dot <= 0 ? undefined : this.options.runner.findRun(requestId.slice(0, dot));
     }
 
-    /**
-     * Refuses the call or starts its first attempt. Only client requests are subject to the cutoffs and the circuit
-     * breaker. Returns whether the call is still in progress.
-     */
+    /** Refuses the call or starts its first attempt. Returns whether the call is still in progress. */
     private admit(call: Call): boolean {
         const now = steadyNow();
         this.activeCalls++;
         this.recordDependency(call);
-        if (call.parent === undefined) {
-            this.options.counters.clientRequests++;
-            if (now >= call.deadlineAt || this.options.isRefusingClients()) {
-                this.refuse(call, now >= call.deadlineAt ? "deadline" : "stopping");
-                return false;
-            }
-            this.options.retryBudget.recordRequest(call.service, now);
-            this.entryCutoffs.recordRequest(call.level);
-            const cutoff = this.cutoffFor(call, now);
-            if (call.level > cutoff) {
-                this.refuse(call, "overload", cutoff);
-                return false;
-            }
-            if (!this.circuitBreaker.isAdmitted(call.route.name, now, this.rand)) {
-                this.refuse(call, "failing-below");
-                return false;
-            }
+        if (call.parent === undefined) this.options.counters.clientRequests++;
+        const refusal = this.admission.check(call, now);
+        if (refusal !== undefined) {
+            this.refuse(call, refusal.reason, refusal.cutoff);
+            return false;
         }
         const leftMs = Math.max(0, call.deadlineAt - now);
         // Node.js keeps timers of equal duration in one list; rounding the durations lets most timers share a list.
@@ -187,12 +167,6 @@
         return !call.isDone;
     }
 
-    private cutoffFor(call: Call, now: number): number {
-        const dependencies = this.options.dependencies.servicesOf(call.route.name);
-        const serviceCutoff = this.entryCutoffs.cutoffOf(call.service, now);
-        return Math.min(serviceCutoff, this.entryCutoffs.lowestCutoffOf(dependencies, now));
-    }
-
     /** Adds the called service and the dependencies of the call's route to those of the parent's route. */
     private recordDependency(call: Call): void {
         if (call.parent === undefined) return;
@@ -273,7 +247,7 @@
             refusedAttempts: call.refusedAttempts,
             maxAttempts: call.route.maxAttempts,
             leftMs: call.deadlineAt - now,
-            isOverloaded: this.cutoffFor(call, now) < MAX_LEVEL,
+            isOverloaded: this.admission.cutoffFor(call, now) < MAX_LEVEL,
         });
         switch (decision.kind) {
             case "stop":
@@ -324,10 +298,10 @@
         }
     }
 
-    private recordClientResponse({ route, startedAt }: Call, status: number): void {
+    private recordClientResponse(call: Call, status: number): void {
         const now = steadyNow();
-        this.circuitBreaker.recordOutcome(route.name, status >= 500, now);
-        if (status < 500) this.routeLatencies.record(route.name, now - startedAt);
+        this.admission.recordResponse(call, status, now);
+        if (status < 500) this.routeLatencies.record(call.route.name, now - call.startedAt);
     }
 
     /**
@@ -347,7 +321,8 @@
         this.respond(call, refusalResponse(reason, this.refusalContextOf(call, reason), this.rand));
     }
 
-    private refusalContextOf({ route, startedAt, deadlineAt }: Call, reason: RefusalReason): RefusalContext {
+    private refusalContextOf(call: Call, reason: RefusalReason): RefusalContext {
+        const { route, startedAt, deadlineAt } = call;
         const now = steadyNow();
         return {
             leftMs: Math.max(0, deadlineAt - now),
@@ -355,6 +330,7 @@
             overloadDurationMs: isOverloadReason(reason)
                 ? this.overloadTracker.recordRefusal(route.name, now)
                 : 0,
+            blockedForMs: reason === "crashes-targets" ? this.admission.blockedForMs(call) : undefined,
         };
     }
 
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -6,52 +6,26 @@
 import { MAX_LEVEL } from "../policy/admissionLevel.ts";
 import { CutoffBroadcast } from "../policy/controlRate.ts";
 import { RetryBudget } from "../policy/retryBudget.ts";
-import type { RetryBudgetOptions } from "../policy/retryBudget.ts";
 import { RouteDependencyMap } from "../policy/routeDependencies.ts";
 import type { StoreRole } from "../policy/storeRole.ts";
 import { toServerLimits } from "./clientLimits.ts";
 import { steadyNow } from "./clock.ts";
-import type { ControlStore } from "./controlStore.ts";
 import { Counters } from "./counters.ts";
-import type { EventLog } from "./eventLog.ts";
+import { CrashGuard } from "./crashGuard.ts";
 import { Forwarder } from "./forwarder.ts";
 import { LatencySamples } from "./latencySamples.ts";
 import { LoadLog } from "./loadLog.ts";
 import { LocalTarget } from "./localTarget.ts";
 import { safeParseNodeRecord } from "./nodeDirectory.ts";
 import type { NodeDirectory } from "./nodeDirectory.ts";
+import type { MeshNodeOptions } from "./nodeOptions.ts";
 import { PauseDetector } from "./pauseDetector.ts";
 import { Peers } from "./peers.ts";
 import { PeerServer } from "./peerServer.ts";
-import type { TargetProtocol } from "./protocol.ts";
 import { Runner } from "./runner.ts";
+import { isSameTarget } from "./targetRecords.ts";
 import type { Announcement } from "./targetRegistration.ts";
-import type { ConfigResult, MeshConfig, NodeRecord, TargetRecord } from "./types.ts";
-
-export interface HostPort {
-    readonly host: string;
-    readonly port: number;
-}
-
-export interface MeshNodeOptions {
-    readonly name: string;
-    readonly dataCentre: string;
-    readonly service: string;
-    /** Listen address for requests from clients on this host and from the local target. */
-    readonly outbound: HostPort;
-    /** Listen address for other nodes. */
-    readonly peer: HostPort;
-    readonly target: HostPort;
-    readonly retryBudget: RetryBudgetOptions;
-    /** Time in ms from the stop signal until the process is killed. */
-    readonly graceMs: number;
-    readonly store: ControlStore;
-    readonly decodeConfig: (encoded: Buffer) => ConfigResult;
-    readonly log: EventLog;
-    readonly protocol: TargetProtocol;
-    /** Unix time in ms at which the process started. */
-    readonly startedAt: number;
-}
+import type { MeshConfig, NodeRecord, TargetRecord } from "./types.ts";
 
 const TICK_MS = 100;
 const TICKS_PER_SECOND = 10;
@@ -71,6 +45,7 @@
     readonly counters = new Counters();
     readonly latencies = new LatencySamples();
     readonly runner: Runner;
+    private readonly crashGuard: CrashGuard;
     private readonly forwarder: Forwarder;
     private readonly clientServer: HttpServer;
     private readonly peers: Peers;
@@ -96,7 +71,13 @@
     constructor(private readonly options: MeshNodeOptions) {
         this.service = options.service;
         this.retryBudget = new RetryBudget(options.retryBudget);
+        this.crashGuard = new CrashGuard({
+            name: options.name,
+            log: options.log,
+            broadcast: report => this.peers.broadcastCrashReport(report),
+        });
         this.runner = new Runner({
+            crashGuard: this.crashGuard,
             ...options.target,
             counters: this.counters,
             latencies: this.latencies,
@@ -124,6 +105,8 @@
             encodedConfig: () => this.config?.encoded,
             onConfig: (encoded, from) => this.onConfig(encoded, from),
             dependencies: this.routeDependencies,
+            onCrashReport: params => this.crashGuard.onReport(params),
+            crashState: () => this.crashGuard.stateReport(),
             targetHistory: this.localTarget.history,
             onNodeCountChange: nodes => this.retryBudget.setNodeCount(nodes),
         });
@@ -133,6 +116,7 @@
             directory: this.peers.directory,
             runner: this.runner,
             retryBudget: this.retryBudget,
+            crashGuard: this.crashGuard,
             counters: this.counters,
             latencies: this.latencies,
             log: options.log,
@@ -278,6 +262,7 @@
         const now = steadyNow();
         this.pauseDetector.tick(now);
         this.runner.tick(now);
+        this.crashGuard.tick();
         this.broadcastCutoff(now);
         this.peers.tick(now);
         if (++this.ticks % TICKS_PER_SECOND !== 0) return;
@@ -391,8 +376,3 @@
         });
     }
 }
-
-function isSameTarget(one: TargetRecord | undefined, other: TargetRecord | undefined): boolean {
-    return one?.id === other?.id && one?.service === other?.service && one?.state === other?.state
-        && one?.slots === other?.slots && one?.bornAt === other?.bornAt;
-}
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -10,6 +10,7 @@
 import type { StoreRole } from "../policy/storeRole.ts";
 import { steadyNow } from "./clock.ts";
 import { ConfigSync, toTransferForm } from "./configSync.ts";
+import type { CrashReport } from "./crashGuard.ts";
 import type { EventLog } from "./eventLog.ts";
 import type { FrameSocket } from "./frameSocket.ts";
 import { NodeDirectory, safeParseNodeRecord } from "./nodeDirectory.ts";
@@ -29,6 +30,9 @@
     readonly encodedConfig: () => Buffer | undefined;
     readonly onConfig: (encoded: Buffer, from: string) => void;
     readonly dependencies: RouteDependencyMap;
+    readonly onCrashReport: (params: unknown) => void;
+    /** Suspects of crashes, for a node that may have just started; `undefined` if there are none. */
+    readonly crashState: () => CrashReport | undefined;
     readonly onNodeCountChange: (nodeCount: number) => void;
     /** Wants to know what other nodes know of this one, after a restart. */
     readonly targetHistory?: Pick<TargetHistory, "isWaiting" | "onPeerRecord">;
@@ -144,6 +148,11 @@
         if (own !== undefined) own.cutoff = cutoff;
     }
 
+    /** Sends a report of a crash, or of requests that are no longer suspected, to all connected nodes. */
+    broadcastCrashReport(report: CrashReport): void {
+        for (const link of this.links.values()) link.notify("crashes.report", report);
+    }
+
     /** Sends newly observed dependencies of routes to all connected nodes. */
     broadcastDependencies(dependencies: readonly RouteDependencies[]): void {
         for (const link of this.links.values()) link.notify("routes.use", { uses: dependencies });
@@ -162,6 +171,8 @@
         channel.notify("node.hello", this.ownState());
         const dependencies = this.options.dependencies.all();
         if (dependencies.length > 0) channel.notify("routes.use", { uses: dependencies });
+        const crashState = this.options.crashState();
+        if (crashState !== undefined) channel.notify("crashes.report", crashState);
         this.requestNodeList(channel);
     }
 
@@ -238,6 +249,7 @@
         this.rpcServer.addMethod("node.hello", (params: unknown) => this.onNodeUpdate(params));
         this.rpcServer.addMethod("node.update", (params: unknown) => this.onNodeUpdate(params));
         this.rpcServer.addMethod("routes.use", (params: unknown) => this.onDependencies(params));
+        this.rpcServer.addMethod("crashes.report", (params: unknown) => this.options.onCrashReport(params));
         this.rpcServer.addMethod("node.known", (params: unknown) => this.recordOfCaller(params));
         this.rpcServer.addMethod("nodes.list", () => [...this.directory.allNodes()].map(node => node.record));
         this.rpcServer.addMethod(
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -7,12 +7,16 @@
 import type { QueueItem } from "../policy/priorityQueue.ts";
 import { steadyNow } from "./clock.ts";
 import type { Counters } from "./counters.ts";
+import { CrashDetector } from "./crashDetector.ts";
+import type { CrashGuard } from "./crashGuard.ts";
 import type { EventLog } from "./eventLog.ts";
 import type { LatencySamples } from "./latencySamples.ts";
 import { RunLog } from "./runLog.ts";
 import { toOutcome } from "./runOutcome.ts";
 import { TargetConnectionPool } from "./targetConnectionPool.ts";
 import type { ExchangeResult, TargetConnectionPoolOptions, TargetExchange } from "./targetConnectionPool.ts";
+import { isSameStart } from "./targetRecords.ts";
+import { encodeTargetRequest } from "./targetRequest.ts";
 import type {
     FailureReason,
     ForwardedRequest,
@@ -47,6 +51,7 @@
     readonly log: EventLog;
     /** Cutoff that this node, as the entry node, applies to client requests to a service. */
     readonly entryCutoffOf: (service: string) => number;
+    readonly crashGuard: Pick<CrashGuard, "onCrash" | "onAnswered">;
 }
 
 /** Share of the announced slots that is used. A full target slows down, and its health checks need a slot too. */
@@ -68,13 +73,13 @@
 /** Weight of the failure rate in the reported service time: at 10% failures, it is 1.8 times the measured one. */
 const FAILURE_RATE_PENALTY = 8;
 const FAILURE_RATE_SMOOTHING = 0.04;
-const METHODS_WITH_BODY: readonly string[] = ["POST", "PUT", "PATCH"];
 
 export class Runner {
     private readonly cutoffController = new CutoffController();
     private readonly queue = new PriorityQueue<Run>();
     private readonly running = new Map<string, Run>();
     private readonly pool: TargetConnectionPool;
+    private readonly crashDetector: CrashDetector;
     private readonly counters: Counters;
     private readonly log: RunLog;
     private target: TargetRecord | undefined;
@@ -88,6 +93,10 @@
 
     constructor(private readonly options: RunnerOptions) {
         this.pool = new TargetConnectionPool(options);
+        this.crashDetector = new CrashDetector({
+            ...options,
+            onCrash: requests => options.crashGuard.onCrash(requests),
+        });
         this.counters = options.counters;
         this.log = new RunLog(options.log, () => this.loadReport(0)); // Its version is not logged.
     }
@@ -123,8 +132,11 @@
     /** Applies the target's latest record. Each record ends the backoff after a failed connection. */
     setTarget(target: TargetRecord | undefined): void {
         const isOtherTarget = target?.id !== this.target?.id;
+        const isNewStart = target !== undefined && this.target !== undefined
+            && !isSameStart(target, this.target);
         this.target = target;
         if (isOtherTarget) this.resetTargetState();
+        if (isNewStart) this.crashDetector.onTargetEnded();
         this.unreachableUntil = 0;
         if (target === undefined || target.state !== "ready") this.refuseQueued("draining");
         this.startQueued();
@@ -201,6 +213,7 @@
 
     close(): void {
         this.pool.closeIdle();
+        this.crashDetector.close();
         if (this.expiryTimer !== undefined) clearInterval(this.expiryTimer);
     }
 
@@ -282,32 +295,23 @@
             requestId: run.req.requestId,
             method: run.req.method,
             isIdempotent: run.req.isIdempotent,
-            bytes: this.encodeHttpRequest(run, target.id, now),
+            bytes: encodeTargetRequest(run.req, {
+                names: this.options.protocol.names,
+                targetId: target.id,
+                leftMs: Math.max(1, Math.floor(run.deadlineAt - now - DEADLINE_MARGIN_MS)),
+            }),
             onResult: result => this.onResult(run, result),
         });
     }
 
-    private encodeHttpRequest(run: Run, targetId: string, now: number): Buffer {
-        const { req } = run;
-        const { names } = this.options.protocol;
-        const leftMs = Math.max(1, Math.floor(run.deadlineAt - now - DEADLINE_MARGIN_MS));
-        const length = req.body.length > 0 || METHODS_WITH_BODY.includes(req.method)
-            ? `Content-Length: ${req.body.length}\r\n`
-            : "";
-        const head = `${req.method} ${req.path} HTTP/1.1\r\n${req.headers}${names.deadlineMs}: ${leftMs}\r\n`
-            + `${names.targetInstance}: ${targetId}\r\n${names.callerService}: ${req.callerService}\r\n${length}\r\n`;
-        if (req.body.length === 0) return Buffer.from(head, "latin1");
-        const buf = Buffer.allocUnsafe(head.length + req.body.length);
-        buf.write(head, 0, "latin1");
-        req.body.copy(buf, head.length);
-        return buf;
-    }
-
     private onResult(run: Run, result: ExchangeResult): void {
         if (run.isDone) return;
         const now = steadyNow();
         if (result.kind === "response") this.recordResponse(run, now, result.head.notExecuted);
+        const isLost = result.kind === "lost" && result.reason === "connection-lost";
+        if (isLost && this.target?.state === "ready") this.crashDetector.onConnectionLost(run.req);
         if (result.kind === "unreachable") {
+            this.crashDetector.onTargetEnded();
             this.unreachableUntil = now + UNREACHABLE_BACKOFF_MS;
             this.finish(run, { kind: "not-run", reason: "target-down" });
             this.refuseQueued("target-down");
@@ -322,6 +326,7 @@
     private recordResponse(run: Run, now: number, isNotExecuted: boolean): void {
         this.lastProgressAt = now;
         if (isNotExecuted) return;
+        this.options.crashGuard.onAnswered(run.req);
         const elapsedMs = now - run.startedAt;
         this.options.latencies.record("target", elapsedMs);
         this.serviceMs = this.serviceMs === 0
--- a/src/mesh/targetRecords.ts
+++ b/src/mesh/targetRecords.ts
@@ -19,3 +19,9 @@
     if (!isSameStart(known, other)) return other.bornAt > known.bornAt ? other : known;
     return STATE_ORDER[other.state] > STATE_ORDER[known.state] ? { ...known, state: other.state } : known;
 }
+
+/** Whether two records say the same of a target. */
+export function isSameTarget(one: TargetRecord | undefined, other: TargetRecord | undefined): boolean {
+    return one?.id === other?.id && one?.service === other?.service && one?.state === other?.state
+        && one?.slots === other?.slots && one?.bornAt === other?.bornAt;
+}
--- a/src/policy/retryAfter.ts
+++ b/src/policy/retryAfter.ts
@@ -20,6 +20,8 @@
     readonly slackMs: number;
     /** Time in ms for which the route has been overloaded; 0 if the refusal is not due to overload. */
     readonly overloadDurationMs: number;
+    /** Time in ms for which the request remains blocked, if it is. */
+    readonly blockedForMs?: number | undefined;
 }
 
 const OVERLOAD_REASONS: readonly RefusalReason[] = ["overload", "queue-timeout", "target-shed", "memory"];
@@ -63,8 +65,10 @@
         case "queue-timeout":
         case "target-shed":
         case "memory":
-        case "crashes-targets": // Not counted as overload: its overload duration is 0, so it gets the default wait.
             return maxOverloadWaitMs(context) * (0.4 + 0.6 * rand());
+        case "crashes-targets":
+            // Usually longer than the caller waits: the request has no chance before.
+            return context.blockedForMs ?? maxOverloadWaitMs(context);
         case "no-config":
         case "no-target":
         case "draining":
--- a/test/mesh/endlessResponses.test.ts
+++ b/test/mesh/endlessResponses.test.ts
@@ -125,6 +125,7 @@
             log: new EventLog({ write: line => this.lines.push(line) }),
             protocol: PROTOCOL,
             entryCutoffOf: () => 1023,
+            crashGuard: { onCrash: () => undefined, onAnswered: () => undefined },
         });
         this.runner.setTarget({ id: "i", service: "s", state: "ready", slots: 10, bornAt: 1 });
         this.timer = setInterval(() => this.runner.tick(performance.now()), 100);
--- a/test/mesh/frameSocket.test.ts
+++ b/test/mesh/frameSocket.test.ts
@@ -80,6 +80,8 @@
             encodedConfig: () => undefined,
             onConfig: () => undefined,
             dependencies: new RouteDependencyMap(),
+            onCrashReport: () => undefined,
+            crashState: () => undefined,
             onNodeCountChange: () => undefined,
         });
         for (let index = 0; index < NODE_COUNT; index++) {
--- a/test/mesh/repeatedResponses.test.ts
+++ b/test/mesh/repeatedResponses.test.ts
@@ -54,6 +54,7 @@
             log: new EventLog({ write: () => undefined }),
             protocol: createTargetProtocol(WIRE_HEADERS, lengthMatchesSeal),
             entryCutoffOf: () => 1023,
+            crashGuard: { onCrash: () => undefined, onAnswered: () => undefined },
         });
         this.runner.setTarget({ id: "i", service: "s", state: "ready", slots: 4, bornAt: 1 });
         return this;
--- a/test/platform/departedNodes.test.ts
+++ b/test/platform/departedNodes.test.ts
@@ -47,6 +47,8 @@
             encodedConfig: () => undefined,
             onConfig: () => undefined,
             dependencies: new RouteDependencyMap(),
+            onCrashReport: () => undefined,
+            crashState: () => undefined,
             onNodeCountChange: () => undefined,
         });
         const target = { id: "i", service: "shop", state: "gone", slots: 1, bornAt: 1 } as const;
--- a/test/support/standinTarget.ts
+++ b/test/support/standinTarget.ts
@@ -42,6 +42,9 @@
 
 export class StandinTarget {
     mode: StandinTargetMode = "healthy";
+    /** Path of the requests that crash the target. */
+    crashPath: string | undefined;
+    crashCount = 0;
     readonly executed: ExecutedRequest[] = [];
     /** Ids of the requests whose connection was closed before the response was complete. */
     readonly abortedIds: string[] = [];
@@ -74,6 +77,19 @@
         this.bornAt = Date.now();
     }
 
+    /** Ends without notice: all connections are closed, and new ones are refused. */
+    crash(): void {
+        this.crashCount++;
+        this.stop();
+    }
+
+    /** Listens again as a new start, and announces it. */
+    async recover(): Promise<void> {
+        this.restart(`${this.id}x`);
+        await this.start();
+        await this.heartbeat();
+    }
+
     /** Sends the responses that mode `hold` has delayed. */
     releaseHeldResponses(): void {
         for (const sendResponse of this.heldResponses.splice(0)) sendResponse();
@@ -131,7 +147,8 @@
         res.on("close", () => {
             if (!res.writableFinished) this.abortedIds.push(id);
         });
-        await this.respond(id, req.socket, res);
+        if (req.url === this.crashPath) this.crash();
+        else await this.respond(id, req.socket, res);
     }
 
     private async respond(id: string, socket: net.Socket, res: http.ServerResponse): Promise<void> {
