--- a/src/mesh/localTarget.ts
+++ b/src/mesh/localTarget.ts
@@ -1,4 +1,5 @@
 /** The target beside this node: what it announces, and what earlier processes of the node knew of it. */
+import { steadyNow } from "./clock.ts";
 import { TargetHistory } from "./targetHistory.ts";
 import type { TargetHistoryOptions } from "./targetHistory.ts";
 import { TargetRegistration } from "./targetRegistration.ts";
@@ -43,7 +44,7 @@
     }
 
     private recordAnnouncement(announcement: Announcement): void {
-        this.update(() => this.registration.recordAnnouncement(announcement));
+        this.update(() => this.registration.recordAnnouncement(announcement, steadyNow()));
     }
 
     private update(change: () => boolean): void {
--- a/src/mesh/targetRegistration.ts
+++ b/src/mesh/targetRegistration.ts
@@ -17,11 +17,27 @@
     readonly bornAt: number;
 }
 
+/** Announcements of a start whose start time is earlier than that of the latest one. */
+interface Challenger {
+    readonly id: string;
+    readonly bornAt: number;
+    readonly sequence: number;
+    readonly count: number;
+    readonly countedAt: number;
+}
+
+/** A target whose clock was set back before its start is accepted after this number of announcements in a row. */
+const CHALLENGER_ANNOUNCEMENTS = 3;
+/** Delayed announcements of an earlier start can arrive together; those of a running target are further apart. */
+const MIN_CHALLENGER_INTERVAL_MS = 700;
 /** Maximum number of deregistered targets of which no record was known. */
 const MAX_UNKNOWN_DEREGISTERED = 16;
 
 export class TargetRegistration {
     private latest: Announcement | undefined;
+    private challenger: Challenger | undefined;
+    /** The start that a challenger has replaced, whose late announcements look newer. */
+    private replaced: Announcement | undefined;
     /** Unix time in ms at which targets deregistered that are not the latest one, by their ids. */
     private readonly deregisteredAt = new Map<string, number>();
 
@@ -51,18 +67,27 @@
     }
 
     /**
-     * Records an announcement. Returns false if it is stale, names another address, or reports a draining or gone
-     * target as ready again without a new start.
+     * Records an announcement that arrives at `now` (`steadyNow()` time in ms). Returns false if it is stale, names
+     * another address, or reports a draining or gone target as ready again without a new start.
      */
-    recordAnnouncement(received: Announcement): boolean {
+    recordAnnouncement(received: Announcement, now: number): boolean {
         if (received.address !== this.address) return false;
         const announcement = this.withDeregistration(received);
         const { latest } = this;
-        if (latest === undefined || isNewerStart(announcement, latest)) {
+        if (
+            latest === undefined || this.isNewerStart(announcement, latest)
+            || isLeavingUnderSameId(announcement, latest)
+        ) {
+            this.accept(announcement);
+            return true;
+        }
+        if (this.hasReplaced(announcement, now)) {
+            this.replaced = latest;
             this.accept(announcement);
             return true;
         }
         if (!isSameStart(announcement, latest)) return false;
+        this.challenger = undefined;
         if (announcement.sequence <= latest.sequence) return false;
         if (latest.state !== "ready" && announcement.state === "ready") return false;
         this.accept({ ...announcement, state: mergeTargets(latest, announcement).state });
@@ -87,6 +112,7 @@
 
     private accept(announcement: Announcement): void {
         this.latest = announcement;
+        this.challenger = undefined;
     }
 
     /** Applies a deregistration that arrived before the record. A later start under the same id is not affected. */
@@ -94,10 +120,39 @@
         const at = this.deregisteredAt.get(record.id);
         return at === undefined || record.bornAt > at ? record : { ...record, state: "gone" };
     }
+
+    /** Of two targets with the same start time and different ids, the one that is announced later counts as newer. */
+    private isNewerStart(announcement: Announcement, latest: Announcement): boolean {
+        if (this.replaced !== undefined && isSameStart(announcement, this.replaced)) return false;
+        if (announcement.bornAt !== latest.bornAt) return announcement.bornAt > latest.bornAt;
+        return announcement.id !== latest.id;
+    }
+
+    /**
+     * Whether a start with an earlier start time is the current one, because the clock was set back in between: only it
+     * has announced itself for a while, and it has done so repeatedly.
+     */
+    private hasReplaced({ id, bornAt, sequence }: Announcement, now: number): boolean {
+        const { latest, challenger } = this;
+        if (latest === undefined || isSameStart({ id, bornAt }, latest)) return false;
+        if (challenger === undefined || !isSameStart({ id, bornAt }, challenger)) {
+            this.challenger = { id, bornAt, sequence, count: 1, countedAt: now };
+            return false;
+        }
+        if (sequence <= challenger.sequence || now - challenger.countedAt < MIN_CHALLENGER_INTERVAL_MS) {
+            return false;
+        }
+        const count = challenger.count + 1;
+        this.challenger = { id, bornAt, sequence, count, countedAt: now };
+        return count >= CHALLENGER_ANNOUNCEMENTS;
+    }
 }
 
-/** Of two targets with the same start time and different ids, the one that is announced later counts as newer. */
-function isNewerStart(announcement: Announcement, latest: Announcement): boolean {
-    if (announcement.bornAt !== latest.bornAt) return announcement.bornAt > latest.bornAt;
-    return announcement.id !== latest.id;
+/**
+ * Whether another start under the same id says that it leaves. It is believed at once: if it is an earlier start, the
+ * next announcement of the current one, which is newer, corrects that.
+ */
+function isLeavingUnderSameId(announcement: Announcement, latest: Announcement): boolean {
+    return announcement.id === latest.id && announcement.bornAt < latest.bornAt
+        && announcement.state !== "ready";
 }
--- a/test/mesh/localTarget.test.ts
+++ b/test/mesh/localTarget.test.ts
@@ -4,6 +4,7 @@
  */
 import { expect } from "chai";
 import { LocalTarget } from "../../src/mesh/localTarget.ts";
+import { TargetRegistration } from "../../src/mesh/targetRegistration.ts";
 import type { Announcement } from "../../src/mesh/targetRegistration.ts";
 import type { TargetRecord, TargetState } from "../../src/mesh/types.ts";
 
@@ -119,3 +120,45 @@
         expect(state()).to.equal("ready");
     });
 });
+
+describe("the registration of a target", () => {
+    it("accepts a start with an earlier time, after the clock was set back, once it goes on alone", () => {
+        const registration = new TargetRegistration(ADDRESS);
+        registration.recordAnnouncement(announce(), 0);
+        const next = (sequence: number, now: number) =>
+            registration.recordAnnouncement(announce({ bornAt: BORN_AT - 2000, sequence }), now);
+        expect([next(1, 1500), next(2, 3000), next(3, 4500)]).to.deep.equal([false, false, true]);
+        expect(registration.recordAnnouncement(announce({ sequence: 6 }), 4600)).to.equal(false);
+        expect(next(4, 6000)).to.equal(true);
+    });
+
+    // Guards against DRAIN: the leaving of such a start was acknowledged and ignored.
+    it("takes a start out of use that leaves, also if its start time is earlier than the latest one's", () => {
+        const registration = new TargetRegistration(ADDRESS);
+        registration.recordAnnouncement(announce(), 0);
+        const earlier = { bornAt: BORN_AT - 2000, sequence: 1, state: "draining" } as const;
+        expect(registration.recordAnnouncement(announce(earlier), 1500)).to.equal(true);
+        expect(registration.record?.state).to.equal("draining");
+        expect(registration.recordAnnouncement(announce({ ...earlier, state: "ready", sequence: 2 }), 3000))
+            .to.equal(false);
+        expect(registration.recordAnnouncement(announce({ sequence: 6 }), 3100)).to.equal(true);
+    });
+
+    it("ignores late heartbeats of an earlier start beside those of the current one, and several at once", () => {
+        const registration = new TargetRegistration(ADDRESS);
+        registration.recordAnnouncement(announce(), 0);
+        const late = (sequence: number, now: number) =>
+            registration.recordAnnouncement(announce({ id: "i-0", bornAt: BORN_AT - 2000, sequence }), now);
+        expect([late(1, 10), late(2, 11), late(3, 12), late(4, 13)]).to.deep.equal([
+            false,
+            false,
+            false,
+            false,
+        ]);
+        for (let round = 1; round <= 5; round++) {
+            registration.recordAnnouncement(announce({ sequence: 5 + round }), round * 1500);
+            expect(late(4 + round, round * 1500 + 700)).to.equal(false);
+        }
+        expect(registration.record?.id).to.equal("i-1");
+    });
+});
