Believe the leaving of an earlier start only within the step of a clock (DRAIN)

Change: only if the start time is at most 60 s earlier, since clocks are set back by seconds.

Measured: path.test.ts and localTarget.test.ts pass.

--- a/src/mesh/targetRegistration.ts
+++ b/src/mesh/targetRegistration.ts
@@ -30,6 +30,8 @@
 const CHALLENGER_ANNOUNCEMENTS = 3;
 /** Delayed announcements of an earlier start can arrive together; those of a running target are further apart. */
 const MIN_CHALLENGER_INTERVAL_MS = 700;
+/** Largest step by which a clock is expected to be set back between two starts. */
+const MAX_CLOCK_STEP_MS = 60_000;
 /** Maximum number of deregistered targets of which no record was known. */
 const MAX_UNKNOWN_DEREGISTERED = 16;
 
@@ -149,10 +151,12 @@
 }
 
 /**
- * Whether another start under the same id says that it leaves. It is believed at once: if it is an earlier start, the
- * next announcement of the current one, which is newer, corrects that.
+ * Whether another start under the same id says that it leaves, and may be the current one after its clock was set back
+ * by seconds. It is believed at once: if it is an earlier start, the next announcement of the current one, which is
+ * newer, corrects that.
  */
 function isLeavingUnderSameId(announcement: Announcement, latest: Announcement): boolean {
-    return announcement.id === latest.id && announcement.bornAt < latest.bornAt
-        && announcement.state !== "ready";
+    const stepMs = latest.bornAt - announcement.bornAt;
+    return announcement.id === latest.id && announcement.state !== "ready" && stepMs > 0
+        && stepMs <= MAX_CLOCK_STEP_MS;
 }
