--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -11,6 +11,8 @@
 import { isOverloadReason } from "../policy/retryAfter.ts";
 import type { RefusalContext } from "../policy/retryAfter.ts";
 import { decideRetry, mayHaveReachedTarget, mayHedge, retryCharges } from "../policy/retryDecision.ts";
+import { CallTally } from "../policy/routeCalls.ts";
+import type { RouteCalls } from "../policy/routeCalls.ts";
 import type { RouteDependencies } from "../policy/routeDependencies.ts";
 import { RouteLatencies } from "../policy/routeLatency.ts";
 import { findRoute, TrafficSplitter } from "../policy/routeTable.ts";
@@ -40,6 +42,7 @@
     readonly counters: Counters;
     readonly latencies: LatencySamples;
     readonly log: EventLog;
+    readonly routeCalls: Pick<RouteCalls, "callsBelow">;
     readonly onNewDependency: (dependencies: RouteDependencies) => void;
     readonly rand?: () => number;
 }
@@ -170,6 +173,8 @@
     /** Adds the called service and the dependencies of the call's route to those of the parent's route. */
     private recordDependency(call: Call): void {
         if (call.parent === undefined) return;
+        call.parent.calls ??= new CallTally();
+        call.parent.calls.add(call.route.name, call.service);
         const { route } = call.parent.req;
         const { dependencies } = this.options;
         const isNew = dependencies.add(route, [call.service, ...dependencies.servicesOf(call.route.name)]);
@@ -275,9 +280,13 @@
     }
 
     private trySpendRetryBudget(call: Call, mayHaveRun: boolean, now: number): boolean {
-        const { retryBudget, dependencies } = this.options;
+        const { retryBudget, dependencies, routeCalls } = this.options;
         return retryBudget.trySpend(
-            retryCharges(call.service, dependencies.servicesOf(call.route.name), mayHaveRun),
+            retryCharges(call.service, {
+                dependencies: dependencies.servicesOf(call.route.name),
+                callsBelow: routeCalls.callsBelow(call.route.name),
+                mayHaveRun,
+            }),
             now,
         );
     }
--- a/src/mesh/localTarget.ts
+++ b/src/mesh/localTarget.ts
@@ -10,6 +10,8 @@
     readonly address: string;
     /** Called after each announcement that was recorded, and after each other change. */
     readonly onRecorded: (previous: TargetRecord | undefined) => void;
+    /** Called when it is known whether there was an earlier process of this node. */
+    readonly onSettled: (hasEarlierProcess: boolean) => void;
 }
 
 export class LocalTarget {
@@ -24,8 +26,9 @@
             onLeft: target => this.update(() => this.registration.learn(target)),
             onRestored: target =>
                 this.update(() => this.record === undefined && this.registration.learn(target)),
-            onSettled: held => {
+            onSettled: (held, hasEarlierProcess) => {
                 if (held !== undefined) this.recordAnnouncement(held);
+                options.onSettled(hasEarlierProcess);
             },
         });
     }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -6,6 +6,7 @@
 import { MAX_LEVEL } from "../policy/admissionLevel.ts";
 import { CutoffBroadcast } from "../policy/controlRate.ts";
 import { RetryBudget } from "../policy/retryBudget.ts";
+import { RouteCalls } from "../policy/routeCalls.ts";
 import { RouteDependencyMap } from "../policy/routeDependencies.ts";
 import type { StoreRole } from "../policy/storeRole.ts";
 import { toServerLimits } from "./clientLimits.ts";
@@ -53,6 +54,7 @@
     private readonly retryBudget: RetryBudget;
     private readonly localTarget: LocalTarget;
     private readonly routeDependencies = new RouteDependencyMap();
+    private readonly routeCalls = new RouteCalls();
     private readonly pauseDetector = new PauseDetector(TICK_MS);
     private readonly cutoffBroadcast = new CutoffBroadcast(MAX_LEVEL);
     private config: MeshConfig | undefined;
@@ -70,7 +72,7 @@
 
     constructor(private readonly options: MeshNodeOptions) {
         this.service = options.service;
-        this.retryBudget = new RetryBudget(options.retryBudget);
+        this.retryBudget = new RetryBudget(options.retryBudget, Infinity);
         this.crashGuard = new CrashGuard({
             name: options.name,
             log: options.log,
@@ -78,6 +80,7 @@
         });
         this.runner = new Runner({
             crashGuard: this.crashGuard,
+            routeCalls: this.routeCalls,
             ...options.target,
             counters: this.counters,
             latencies: this.latencies,
@@ -90,6 +93,7 @@
             healthPathOf: service => this.config?.services.get(service)?.healthPath,
             checkHealth: (path, onChecked) => this.runner.checkHealth(path, onChecked),
             onRecorded: previous => this.applyTargetRecord(previous),
+            onSettled: hasEarlierProcess => this.retryBudget.grantSlack(steadyNow(), hasEarlierProcess),
         });
         this.loadLog = new LoadLog({
             log: options.log,
@@ -105,6 +109,7 @@
             encodedConfig: () => this.config?.encoded,
             onConfig: (encoded, from) => this.onConfig(encoded, from),
             dependencies: this.routeDependencies,
+            routeCalls: this.routeCalls,
             onCrashReport: params => this.crashGuard.onReport(params),
             crashState: () => this.crashGuard.stateReport(),
             targetHistory: this.localTarget.history,
@@ -125,6 +130,7 @@
                 this.stoppingSince !== undefined
                 && steadyNow() - this.stoppingSince > SHUTDOWN_REFUSE_CLIENTS_AFTER_MS,
             dependencies: this.routeDependencies,
+            routeCalls: this.routeCalls,
             onNewDependency: dependency => this.peers.broadcastDependencies([dependency]),
             onConfigVersion: (node, version) => this.peers.onPeerConfigVersion(node, version),
         });
@@ -263,6 +269,7 @@
         this.pauseDetector.tick(now);
         this.runner.tick(now);
         this.crashGuard.tick();
+        this.peers.broadcastRouteCalls();
         this.broadcastCutoff(now);
         this.peers.tick(now);
         if (++this.ticks % TICKS_PER_SECOND !== 0) return;
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -5,6 +5,7 @@
 import { JSONRPCServer } from "json-rpc-2.0";
 import * as v from "valibot";
 import { idleKeepaliveMs } from "../policy/controlRate.ts";
+import type { RouteCalls } from "../policy/routeCalls.ts";
 import type { RouteDependencies, RouteDependencyMap } from "../policy/routeDependencies.ts";
 import { storeRankOf, storeRoleOf } from "../policy/storeRole.ts";
 import type { StoreRole } from "../policy/storeRole.ts";
@@ -30,6 +31,7 @@
     readonly encodedConfig: () => Buffer | undefined;
     readonly onConfig: (encoded: Buffer, from: string) => void;
     readonly dependencies: RouteDependencyMap;
+    readonly routeCalls: Pick<RouteCalls, "all" | "merge" | "takeIncreases">;
     readonly onCrashReport: (params: unknown) => void;
     /** Suspects of crashes, for a node that may have just started; `undefined` if there are none. */
     readonly crashState: () => CrashReport | undefined;
@@ -39,7 +41,16 @@
 }
 
 const dependenciesSchema = v.object({
-    uses: v.array(v.object({ route: v.string(), services: v.array(v.string()) })),
+    uses: v.optional(v.array(v.object({ route: v.string(), services: v.array(v.string()) })), []),
+    calls: v.optional(
+        v.array(v.object({
+            route: v.string(),
+            calledRoute: v.string(),
+            service: v.string(),
+            calls: v.pipe(v.number(), v.minValue(0), v.maxValue(1e6)),
+        })),
+        [],
+    ),
 });
 
 type RpcChannel = Pick<FrameSocket, "notify" | "request">;
@@ -153,6 +164,13 @@
         for (const link of this.links.values()) link.notify("crashes.report", report);
     }
 
+    /** Sends estimates of the calls of runs that have risen to all connected nodes. Called at regular intervals. */
+    broadcastRouteCalls(): void {
+        const calls = this.options.routeCalls.takeIncreases();
+        if (calls.length === 0) return;
+        for (const link of this.links.values()) link.notify("routes.use", { calls });
+    }
+
     /** Sends newly observed dependencies of routes to all connected nodes. */
     broadcastDependencies(dependencies: readonly RouteDependencies[]): void {
         for (const link of this.links.values()) link.notify("routes.use", { uses: dependencies });
@@ -170,7 +188,8 @@
     private sendHello(channel: RpcChannel): void {
         channel.notify("node.hello", this.ownState());
         const dependencies = this.options.dependencies.all();
-        if (dependencies.length > 0) channel.notify("routes.use", { uses: dependencies });
+        const calls = this.options.routeCalls.all();
+        if (dependencies.length > 0) channel.notify("routes.use", { uses: dependencies, calls });
         const crashState = this.options.crashState();
         if (crashState !== undefined) channel.notify("crashes.report", crashState);
         this.requestNodeList(channel);
@@ -297,6 +316,7 @@
         const result = v.safeParse(dependenciesSchema, params);
         if (!result.success) return;
         for (const { route, services } of result.output.uses) this.options.dependencies.add(route, services);
+        this.options.routeCalls.merge(result.output.calls);
     }
 
     private onNodeUpdate(params: unknown): void {
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -5,6 +5,7 @@
 import { CutoffController } from "../policy/cutoffController.ts";
 import { PriorityQueue } from "../policy/priorityQueue.ts";
 import type { QueueItem } from "../policy/priorityQueue.ts";
+import type { CallTally, RouteCalls } from "../policy/routeCalls.ts";
 import { steadyNow } from "./clock.ts";
 import type { Counters } from "./counters.ts";
 import { CrashDetector } from "./crashDetector.ts";
@@ -43,6 +44,8 @@
     exchange: TargetExchange | undefined;
     isDone: boolean;
     isSilenceReported: boolean;
+    /** The calls that the target has made while it ran the request; `undefined` if there are none. */
+    calls: CallTally | undefined;
 }
 
 export interface RunnerOptions extends TargetConnectionPoolOptions {
@@ -52,6 +55,7 @@
     /** Cutoff that this node, as the entry node, applies to client requests to a service. */
     readonly entryCutoffOf: (service: string) => number;
     readonly crashGuard: Pick<CrashGuard, "onCrash" | "onAnswered">;
+    readonly routeCalls: Pick<RouteCalls, "observe">;
 }
 
 /** Share of the announced slots that is used. A full target slows down, and its health checks need a slot too. */
@@ -156,6 +160,7 @@
             exchange: undefined,
             isDone: false,
             isSilenceReported: false,
+            calls: undefined,
         };
         const refusal = this.checkAdmission(run, now);
         if (refusal !== undefined) this.refuse(run, refusal);
@@ -336,6 +341,11 @@
 
     private finish(run: Run, outcome: Outcome, detail?: string): void {
         this.log.ended(run, steadyNow(), outcome, detail);
+        this.options.routeCalls.observe(
+            run.req.route,
+            run.calls,
+            outcome.kind === "answer" && outcome.status < 500,
+        );
         this.endRun(run);
         run.listener.onDone(outcome);
     }
--- a/src/mesh/targetHistory.ts
+++ b/src/mesh/targetHistory.ts
@@ -20,7 +20,7 @@
     readonly onLeft: (target: TargetRecord) => void;
     readonly onRestored: (target: TargetRecord) => void;
     /** Called when the question is settled, with the latest announcement that was held back, if any. */
-    readonly onSettled: (held: Announcement | undefined) => void;
+    readonly onSettled: (held: Announcement | undefined, hasEarlierProcess: boolean) => void;
 }
 
 /** How long to wait for what other nodes know of this one. All nodes may have restarted, and know nothing more. */
@@ -36,6 +36,8 @@
     private held: Announcement | undefined;
     private settleTimer: NodeJS.Timeout | undefined;
     private isAskingPeers = false;
+    /** Assumed unless the store has shown otherwise. */
+    private hasEarlierProcess = true;
     private isSettled = false;
     private isClosed = false;
 
@@ -64,7 +66,9 @@
 
     /** Handles the end of the first read of the store. Without a stored record, there was no earlier process. */
     onStoreRead(): void {
-        if (!this.isAskingPeers) this.settle();
+        if (this.isAskingPeers) return;
+        this.hasEarlierProcess = false;
+        this.settle();
     }
 
     /** Handles another node's record of this node. */
@@ -105,7 +109,7 @@
         if (!this.isWaiting) return;
         this.isSettled = true;
         clearTimeout(this.settleTimer);
-        this.options.onSettled(this.held);
+        this.options.onSettled(this.held, this.hasEarlierProcess);
         if (this.held !== undefined) this.known = undefined;
         this.tryRestore();
     }
--- a/src/policy/retryBudget.ts
+++ b/src/policy/retryBudget.ts
@@ -1,10 +1,14 @@
 /**
  * One node's share of the retry budget of all nodes. In any window, a service may receive at most `ratio` retries per
  * client request to it, plus a fixed slack. Each node spends only the part that its own client requests allow, plus an
- * equal part of the slack, so the limit on the sum of all nodes holds without coordination.
+ * equal part of the slack, so the limit on the sum of all nodes holds without coordination. A process that has just
+ * started does not know how many nodes there are, nor what an earlier process has spent; until then, it has no part of
+ * the slack.
  */
 
 const BUCKETS_PER_WINDOW = 10;
+/** The window of retries has one more bucket, since the current one is not full yet. */
+const RETRY_BUCKETS = BUCKETS_PER_WINDOW + 1;
 /** Share of the budget that may be spent; the rest is a margin, since the charges of a retry are only estimates. */
 const SAFETY_FACTOR = 0.7;
 
@@ -26,7 +30,7 @@
 interface SlidingWindow {
     readonly requests: Float64Array;
     readonly retries: Float64Array;
-    /** Number of the latest bucket since time 0. Its index in the ring buffers is this modulo `BUCKETS_PER_WINDOW`. */
+    /** Number of the latest bucket since time 0. Its index in a ring buffer is this modulo the buffer's length. */
     currentBucket: number;
 }
 
@@ -35,7 +39,8 @@
     private readonly bucketMs: number;
     private nodeCount = 1;
 
-    constructor(private readonly options: RetryBudgetOptions) {
+    /** `slackFrom`: from when on this node has its part of the slack; by default, from the beginning. */
+    constructor(private readonly options: RetryBudgetOptions, private slackFrom = -Infinity) {
         this.bucketMs = options.windowMs / BUCKETS_PER_WINDOW;
     }
 
@@ -44,6 +49,14 @@
         this.nodeCount = Math.max(1, count);
     }
 
+    /**
+     * Grants this node its part of the slack, once it knows the other nodes. If an earlier process may have spent it, it
+     * is granted one window later.
+     */
+    grantSlack(now: number, hasEarlierProcess: boolean): void {
+        this.slackFrom = hasEarlierProcess ? now + this.options.windowMs : now;
+    }
+
     /** Records a client request to a service. */
     recordRequest(service: string, now: number): void {
         const window = this.windowOf(service, now);
@@ -55,14 +68,15 @@
         if (!charges.every(charge => this.canSpend(charge, now))) return false;
         for (const { service, attempts } of charges) {
             const window = this.windowOf(service, now);
-            window.retries[window.currentBucket % BUCKETS_PER_WINDOW]! += attempts;
+            window.retries[window.currentBucket % RETRY_BUCKETS]! += attempts;
         }
         return true;
     }
 
     private canSpend({ service, attempts }: RetryCharge, now: number): boolean {
         const window = this.windowOf(service, now);
-        const budget = this.options.ratio * sum(window.requests) + this.options.slack / this.nodeCount;
+        const slack = now < this.slackFrom ? 0 : this.options.slack / this.nodeCount;
+        const budget = this.options.ratio * sum(window.requests) + slack;
         return sum(window.retries) + attempts <= SAFETY_FACTOR * budget;
     }
 
@@ -71,14 +85,17 @@
         const bucket = Math.floor(now / this.bucketMs);
         let window = this.windows.get(service);
         if (window === undefined) {
-            const zeros = () => new Float64Array(BUCKETS_PER_WINDOW);
-            window = { requests: zeros(), retries: zeros(), currentBucket: bucket };
+            window = {
+                requests: new Float64Array(BUCKETS_PER_WINDOW),
+                retries: new Float64Array(RETRY_BUCKETS),
+                currentBucket: bucket,
+            };
             this.windows.set(service, window);
         }
-        const elapsedBuckets = Math.min(bucket - window.currentBucket, BUCKETS_PER_WINDOW);
+        const elapsedBuckets = Math.min(bucket - window.currentBucket, RETRY_BUCKETS);
         for (let step = 1; step <= elapsedBuckets; step++) {
             window.requests[(window.currentBucket + step) % BUCKETS_PER_WINDOW] = 0;
-            window.retries[(window.currentBucket + step) % BUCKETS_PER_WINDOW] = 0;
+            window.retries[(window.currentBucket + step) % RETRY_BUCKETS] = 0;
         }
         window.currentBucket = bucket;
         return window;
--- a/src/policy/retryDecision.ts
+++ b/src/policy/retryDecision.ts
@@ -64,21 +64,30 @@
     }
 }
 
-/** Number of calls that a request is assumed to make to each dependency of its route. A retry makes them again. */
+/** Calls of a run to each dependency of its route, as long as none have been counted. */
 const ASSUMED_CALLS_PER_DEPENDENCY = 4;
 
-/** Cost of a retry: one attempt at the service, plus the calls to the dependencies if the request may have run. */
+/**
+ * Cost of a retry: one attempt at the service, plus the calls to the dependencies if the request may have run.
+ * `callsBelow`: number of calls that a run makes to each service, as measured.
+ */
 export function retryCharges(
     service: string,
-    dependencies: readonly string[],
-    mayHaveRun: boolean,
+    { dependencies, callsBelow, mayHaveRun }: {
+        readonly dependencies: readonly string[];
+        readonly callsBelow: ReadonlyMap<string, number>;
+        readonly mayHaveRun: boolean;
+    },
 ): readonly RetryCharge[] {
-    const ownCharge = { service, attempts: 1 };
-    if (!mayHaveRun) return [ownCharge];
-    return [
-        ownCharge,
-        ...dependencies.map(dependency => ({ service: dependency, attempts: ASSUMED_CALLS_PER_DEPENDENCY })),
-    ];
+    if (!mayHaveRun) return [{ service, attempts: 1 }];
+    const attempts = new Map<string, number>([[service, 1]]);
+    const add = (dependency: string, calls: number) =>
+        attempts.set(dependency, (attempts.get(dependency) ?? 0) + calls);
+    for (const [dependency, calls] of callsBelow) add(dependency, Math.ceil(calls));
+    for (const dependency of dependencies) {
+        if (!callsBelow.has(dependency)) add(dependency, ASSUMED_CALLS_PER_DEPENDENCY);
+    }
+    return [...attempts].map(([charged, count]) => ({ service: charged, attempts: count }));
 }
 
 function decideAfterNotRun(
--- a/test/mesh/endlessResponses.test.ts
+++ b/test/mesh/endlessResponses.test.ts
@@ -126,6 +126,7 @@
             protocol: PROTOCOL,
             entryCutoffOf: () => 1023,
             crashGuard: { onCrash: () => undefined, onAnswered: () => undefined },
+            routeCalls: { observe: () => undefined },
         });
         this.runner.setTarget({ id: "i", service: "s", state: "ready", slots: 10, bornAt: 1 });
         this.timer = setInterval(() => this.runner.tick(performance.now()), 100);
--- a/test/mesh/frameSocket.test.ts
+++ b/test/mesh/frameSocket.test.ts
@@ -10,6 +10,7 @@
 import { Peers } from "../../src/mesh/peers.ts";
 import { ACCEPTED_IDLE_KEEPALIVE_MS } from "../../src/mesh/peerServer.ts";
 import { CutoffBroadcast, idleKeepaliveMs } from "../../src/policy/controlRate.ts";
+import { RouteCalls } from "../../src/policy/routeCalls.ts";
 import { RouteDependencyMap } from "../../src/policy/routeDependencies.ts";
 import { makeForwardedRequest } from "../support/meshFixtures.ts";
 import { waitFor } from "../support/platformMesh.ts";
@@ -80,6 +81,7 @@
             encodedConfig: () => undefined,
             onConfig: () => undefined,
             dependencies: new RouteDependencyMap(),
+            routeCalls: new RouteCalls(),
             onCrashReport: () => undefined,
             crashState: () => undefined,
             onNodeCountChange: () => undefined,
--- a/test/mesh/localTarget.test.ts
+++ b/test/mesh/localTarget.test.ts
@@ -41,6 +41,7 @@
             healthPathOf: () => "/health",
             checkHealth: (_, onChecked) => onChecked("i-1"),
             onRecorded: () => undefined,
+            onSettled: () => undefined,
         });
     });
 
--- a/test/mesh/policy.test.ts
+++ b/test/mesh/policy.test.ts
@@ -172,10 +172,13 @@
         const budget = new RetryBudget({ ratio: 0.2, slack: 10, windowMs: 10_000 });
         for (let index = 0; index < 1000; index++) budget.recordRequest("top", 0);
         let retryCount = 0;
-        while (budget.trySpend(retryCharges("top", ["dependency"], true), 0)) retryCount++;
-        // The dependency has no client requests, so its budget is 0.7 of the slack of 10; a retry costs 4 calls.
-        expect(retryCount).to.equal(1);
-        expect(budget.trySpend(retryCharges("top", ["dependency"], false), 0)).to.equal(true);
+        const measured = { dependencies: ["dependency"], callsBelow: new Map([["dependency", 2.5]]) };
+        while (budget.trySpend(retryCharges("top", { ...measured, mayHaveRun: true }), 0)) retryCount++;
+        // The dependency has no client requests, so its budget is 0.7 of the slack of 10; a retry costs 3 calls.
+        expect(retryCount).to.equal(2);
+        expect(budget.trySpend(retryCharges("top", { ...measured, mayHaveRun: false }), 0)).to.equal(true);
+        const unmeasured = { dependencies: ["dependency"], callsBelow: new Map(), mayHaveRun: true };
+        expect(retryCharges("top", unmeasured)[1]).to.deep.equal({ service: "dependency", attempts: 4 });
     });
 });
 
--- a/test/mesh/repeatedResponses.test.ts
+++ b/test/mesh/repeatedResponses.test.ts
@@ -55,6 +55,7 @@
             protocol: createTargetProtocol(WIRE_HEADERS, lengthMatchesSeal),
             entryCutoffOf: () => 1023,
             crashGuard: { onCrash: () => undefined, onAnswered: () => undefined },
+            routeCalls: { observe: () => undefined },
         });
         this.runner.setTarget({ id: "i", service: "s", state: "ready", slots: 4, bornAt: 1 });
         return this;
--- a/test/platform/departedNodes.test.ts
+++ b/test/platform/departedNodes.test.ts
@@ -5,6 +5,7 @@
 import { EventLog } from "../../src/mesh/eventLog.ts";
 import { Peers } from "../../src/mesh/peers.ts";
 import type { NodeRecord } from "../../src/mesh/types.ts";
+import { RouteCalls } from "../../src/policy/routeCalls.ts";
 import { RouteDependencyMap } from "../../src/policy/routeDependencies.ts";
 import { StandinStore } from "../support/standinStore.ts";
 
@@ -47,6 +48,7 @@
             encodedConfig: () => undefined,
             onConfig: () => undefined,
             dependencies: new RouteDependencyMap(),
+            routeCalls: new RouteCalls(),
             onCrashReport: () => undefined,
             crashState: () => undefined,
             onNodeCountChange: () => undefined,
