--- a/src/mesh/targetRegistration.ts
+++ b/src/mesh/targetRegistration.ts
@@ -90,9 +90,13 @@
         }
         if (!isSameStart(announcement, latest)) return false;
         this.challenger = undefined;
-        if (announcement.sequence <= latest.sequence) return false;
+        const { state } = mergeTargets(latest, announcement);
+        // The state advances in any order of arrival; the sequence number may be that of another writer.
+        if (announcement.sequence <= latest.sequence && state === latest.state) return false;
         if (latest.state !== "ready" && announcement.state === "ready") return false;
-        this.accept({ ...announcement, state: mergeTargets(latest, announcement).state });
+        this.accept(
+            announcement.sequence > latest.sequence ? { ...announcement, state } : { ...latest, state },
+        );
         return true;
     }
 
--- a/test/mesh/localTarget.test.ts
+++ b/test/mesh/localTarget.test.ts
@@ -145,6 +145,18 @@
         expect(registration.recordAnnouncement(announce({ sequence: 6 }), 3100)).to.equal(true);
     });
 
+    // Guards against DRAIN: a heartbeat of another writer raised the sequence number, and the leaving was ignored.
+    it("takes a target out of use that leaves, also if its sequence number is lower than the latest one", () => {
+        const registration = new TargetRegistration(ADDRESS);
+        registration.recordAnnouncement(announce({ sequence: 1_000_000, slots: 30 }), 0);
+        expect(registration.recordAnnouncement(announce({ sequence: 6 }), 1500)).to.equal(false);
+        expect(registration.recordAnnouncement(announce({ sequence: 7, state: "draining" }), 3000)).to.equal(
+            true,
+        );
+        expect(registration.record).to.deep.include({ state: "draining", slots: 30 });
+        expect(registration.recordAnnouncement(announce({ sequence: 2_000_000 }), 4500)).to.equal(false);
+    });
+
     it("ignores late heartbeats of an earlier start beside those of the current one, and several at once", () => {
         const registration = new TargetRegistration(ADDRESS);
         registration.recordAnnouncement(announce(), 0);
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -124,6 +124,9 @@
             const body = {
                 service: "shop",
                 address: `127.0.0.1:${shop1!.settings.target.port}`,
+                zone: "a",
+                version: "v1",
+                cold_remaining: "0ms",
                 slots: 20,
                 state: "draining",
                 sequence: 0,
@@ -134,6 +137,14 @@
         };
         expect((await sendHeartbeat({})).status).to.equal(200);
         expect((await sendHeartbeat({ sequence: "9", born: Date.now() })).status).to.equal(400);
+        for (
+            const odd of [{ cold_remaining: 0 }, { cold_remaining: "soon" }, { zone: undefined }, {
+                version: 1,
+            }]
+        ) {
+            expect((await sendHeartbeat({ ...odd, state: "ready", sequence: 1e9, born: Date.now() })).status)
+                .to.equal(400);
+        }
         expect((await sendHeartbeat({ service: "other", sequence: 9, born: Date.now() })).status).to.equal(
             400,
         );
