--- a/src/mesh/callAdmission.ts
+++ b/src/mesh/callAdmission.ts
@@ -3,6 +3,7 @@
 import type { RetryBudget } from "../policy/retryBudget.ts";
 import { RouteCircuitBreaker } from "../policy/routeCircuitBreaker.ts";
 import type { RouteDependencyMap } from "../policy/routeDependencies.ts";
+import { RouteLatencies } from "../policy/routeLatency.ts";
 import type { Call } from "./call.ts";
 import type { CrashGuard } from "./crashGuard.ts";
 import type { NodeDirectory } from "./nodeDirectory.ts";
@@ -14,8 +15,8 @@
     readonly dependencies: RouteDependencyMap;
     readonly retryBudget: RetryBudget;
     readonly crashGuard: Pick<CrashGuard, "admit" | "blockedForMs">;
-    /** Whether client requests are refused because the process is about to exit. */
-    readonly isRefusingClients: () => boolean;
+    /** Whether client requests that take about `expectedMs` are refused because the process is about to exit. */
+    readonly isRefusingClients: (expectedMs: number) => boolean;
 }
 
 export interface CallRefusal {
@@ -27,6 +28,7 @@
 export class CallAdmission {
     private readonly entryCutoffs: EntryCutoffs;
     private readonly circuitBreaker = new RouteCircuitBreaker();
+    private readonly routeLatencies = new RouteLatencies();
 
     constructor(private readonly options: CallAdmissionOptions, private readonly rand: () => number) {
         this.entryCutoffs = new EntryCutoffs(service => options.directory.nodesOfService(service));
@@ -47,7 +49,9 @@
     check(call: Call, now: number): CallRefusal | undefined {
         const isClientCall = call.parent === undefined;
         if (isClientCall && now >= call.deadlineAt) return { reason: "deadline" };
-        if (isClientCall && this.options.isRefusingClients()) return { reason: "stopping" };
+        if (isClientCall && this.options.isRefusingClients(this.meanLatencyMs(call))) {
+            return { reason: "stopping" };
+        }
         if (!this.options.crashGuard.admit(this.contentOf(call))) return { reason: "crashes-targets" };
         return isClientCall ? this.checkLoad(call, now) : undefined;
     }
@@ -57,8 +61,14 @@
         return this.options.crashGuard.blockedForMs(this.contentOf(call));
     }
 
+    /** Mean latency in ms of the call's route; 0 before the first response. */
+    meanLatencyMs(call: Call): number {
+        return this.routeLatencies.meanMs(call.route.name);
+    }
+
     recordResponse(call: Call, status: number, now: number): void {
         this.circuitBreaker.recordOutcome(call.route.name, status >= 500, now);
+        if (status < 500) this.routeLatencies.record(call.route.name, now - call.startedAt);
     }
 
     private checkLoad(call: Call, now: number): CallRefusal | undefined {
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -14,7 +14,6 @@
 import { CallTally } from "../policy/routeCalls.ts";
 import type { RouteCalls } from "../policy/routeCalls.ts";
 import type { RouteDependencies } from "../policy/routeDependencies.ts";
-import { RouteLatencies } from "../policy/routeLatency.ts";
 import { findRoute, TrafficSplitter } from "../policy/routeTable.ts";
 import { createCall, maxTargetWaitMs, refusalReasonOf } from "./call.ts";
 import type { Call } from "./call.ts";
@@ -58,7 +57,6 @@
 export class Forwarder {
     private readonly trafficSplitter = new TrafficSplitter();
     private readonly admission: CallAdmission;
-    private readonly routeLatencies = new RouteLatencies();
     private readonly overloadTracker = new OverloadTracker();
     private readonly callLog: CallLog;
     private readonly dispatcher: Dispatcher;
@@ -294,7 +292,9 @@
     private end(call: Call, outcome: Outcome): void {
         switch (outcome.kind) {
             case "answer":
-                if (call.parent === undefined) this.recordClientResponse(call, outcome.status);
+                if (call.parent === undefined) {
+                    this.admission.recordResponse(call, outcome.status, steadyNow());
+                }
                 this.callLog.responded(call, outcome.status);
                 this.options.latencies.record("answered", steadyNow() - call.startedAt);
                 this.respond(call, outcome);
@@ -307,12 +307,6 @@
         }
     }
 
-    private recordClientResponse(call: Call, status: number): void {
-        const now = steadyNow();
-        this.admission.recordResponse(call, status, now);
-        if (status < 500) this.routeLatencies.record(call.route.name, now - call.startedAt);
-    }
-
     /**
      * Ends a call that had no attempt or whose last attempt was not executed: as refused or, if a target may have
      * executed an earlier attempt, as failed with `connection-lost`, whatever the outcome of that attempt was.
@@ -335,7 +329,7 @@
         const now = steadyNow();
         return {
             leftMs: Math.max(0, deadlineAt - now),
-            slackMs: route.latencyObjectiveMs - (now - startedAt) - this.routeLatencies.meanMs(route.name),
+            slackMs: route.latencyObjectiveMs - (now - startedAt) - this.admission.meanLatencyMs(call),
             overloadDurationMs: isOverloadReason(reason)
                 ? this.overloadTracker.recordRefusal(route.name, now)
                 : 0,
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -37,8 +37,10 @@
  * running and can be reached only through this node. Accepted runs have the rest of the period to complete.
  */
 const SHUTDOWN_PEER_RUNS_SHARE = 1 / 3;
-/** Client requests that arrive later than this after the stop signal are refused: they might outlast the process. */
+/** Client requests that arrive later than this after the stop signal are refused: clients no longer send to the node. */
 const SHUTDOWN_REFUSE_CLIENTS_AFTER_MS = 2900;
+/** A stopping node accepts a request only if this many times the mean latency of its route is left. */
+const LATENCY_MARGIN = 1.25;
 /** A stopping node closes about this long before the end of the grace period, since the exit takes time. */
 const SHUTDOWN_RESERVE_MS = 800;
 
@@ -126,9 +128,7 @@
             latencies: this.latencies,
             log: options.log,
             sendToNode: (node, req, listener) => this.peers.send(node, req, listener),
-            isRefusingClients: () =>
-                this.stoppingSince !== undefined
-                && steadyNow() - this.stoppingSince > SHUTDOWN_REFUSE_CLIENTS_AFTER_MS,
+            isRefusingClients: expectedMs => this.isRefusingClients(expectedMs),
             dependencies: this.routeDependencies,
             routeCalls: this.routeCalls,
             onNewDependency: dependency => this.peers.broadcastDependencies([dependency]),
@@ -238,6 +238,14 @@
         this.broadcastRecord();
     }
 
+    /** Whether client requests that take about `expectedMs` might outlast this stopping process. */
+    private isRefusingClients(expectedMs: number): boolean {
+        if (this.stoppingSince === undefined) return false;
+        const elapsed = steadyNow() - this.stoppingSince;
+        const leftMs = this.options.graceMs - SHUTDOWN_RESERVE_MS - elapsed;
+        return elapsed > SHUTDOWN_REFUSE_CLIENTS_AFTER_MS || leftMs < expectedMs * LATENCY_MARGIN;
+    }
+
     /** Resolves when idle, at the earliest after `MIN_SHUTDOWN_MS`, or `SHUTDOWN_RESERVE_MS` before the period ends. */
     private waitUntilDrained(): Promise<void> {
         return new Promise(resolve => {
--- a/test/mesh/endlessResponses.test.ts
+++ b/test/mesh/endlessResponses.test.ts
@@ -6,16 +6,13 @@
 import net from "node:net";
 import { WIRE_HEADERS } from "../../platform/wireHeaders.ts";
 import { MessageReader } from "../../src/http/messageReader.ts";
-import { Counters } from "../../src/mesh/counters.ts";
-import { EventLog } from "../../src/mesh/eventLog.ts";
-import { LatencySamples } from "../../src/mesh/latencySamples.ts";
 import { createTargetProtocol } from "../../src/mesh/protocol.ts";
-import { Runner } from "../../src/mesh/runner.ts";
+import type { Runner } from "../../src/mesh/runner.ts";
 import type { Run } from "../../src/mesh/runner.ts";
 import { TargetConnectionPool } from "../../src/mesh/targetConnectionPool.ts";
 import type { ExchangeResult } from "../../src/mesh/targetConnectionPool.ts";
 import type { Outcome } from "../../src/mesh/types.ts";
-import { makeForwardedRequest } from "../support/meshFixtures.ts";
+import { makeForwardedRequest, makeRunner } from "../support/meshFixtures.ts";
 
 /** Limit for the bytes that a target can send of one response: what a node reads plus what the sockets buffer. */
 const MAX_SENT_BYTES = 64 * 1024 * 1024;
@@ -117,18 +114,7 @@
     private readonly timer: NodeJS.Timeout;
 
     constructor(readonly target: EndlessTarget, port: number) {
-        this.runner = new Runner({
-            host: "127.0.0.1",
-            port,
-            counters: new Counters(),
-            latencies: new LatencySamples(),
-            log: new EventLog({ write: line => this.lines.push(line) }),
-            protocol: PROTOCOL,
-            entryCutoffOf: () => 1023,
-            crashGuard: { onCrash: () => undefined, onAnswered: () => undefined },
-            routeCalls: { observe: () => undefined },
-        });
-        this.runner.setTarget({ id: "i", service: "s", state: "ready", slots: 10, bornAt: 1 });
+        this.runner = makeRunner({ port, slots: 10, write: line => this.lines.push(line) });
         this.timer = setInterval(() => this.runner.tick(performance.now()), 100);
     }
 
--- a/test/mesh/repeatedResponses.test.ts
+++ b/test/mesh/repeatedResponses.test.ts
@@ -4,15 +4,10 @@
  */
 import { expect } from "chai";
 import net from "node:net";
-import { lengthMatchesSeal, WIRE_HEADERS } from "../../platform/wireHeaders.ts";
-import { Counters } from "../../src/mesh/counters.ts";
-import { EventLog } from "../../src/mesh/eventLog.ts";
-import { LatencySamples } from "../../src/mesh/latencySamples.ts";
-import { createTargetProtocol } from "../../src/mesh/protocol.ts";
-import { Runner } from "../../src/mesh/runner.ts";
+import type { Runner } from "../../src/mesh/runner.ts";
 import type { Outcome } from "../../src/mesh/types.ts";
 import { freeListenerPort } from "../support/freePorts.ts";
-import { makeForwardedRequest } from "../support/meshFixtures.ts";
+import { makeForwardedRequest, makeRunner } from "../support/meshFixtures.ts";
 
 /** What the target writes for each request, in the order in which the requests arrive. */
 type Script = readonly ((id: string) => string)[];
@@ -46,18 +41,7 @@
     async start(): Promise<this> {
         const port = await freeListenerPort();
         await new Promise<void>(resolve => this.server.listen(port, "127.0.0.1", resolve));
-        this.runner = new Runner({
-            host: "127.0.0.1",
-            port,
-            counters: new Counters(),
-            latencies: new LatencySamples(),
-            log: new EventLog({ write: () => undefined }),
-            protocol: createTargetProtocol(WIRE_HEADERS, lengthMatchesSeal),
-            entryCutoffOf: () => 1023,
-            crashGuard: { onCrash: () => undefined, onAnswered: () => undefined },
-            routeCalls: { observe: () => undefined },
-        });
-        this.runner.setTarget({ id: "i", service: "s", state: "ready", slots: 4, bornAt: 1 });
+        this.runner = makeRunner({ port, slots: 4 });
         return this;
     }
 
--- a/test/support/meshFixtures.ts
+++ b/test/support/meshFixtures.ts
@@ -1,6 +1,12 @@
 /** Creates data plane objects for tests; fields that a test does not give get default values. */
+import { lengthMatchesSeal, WIRE_HEADERS } from "../../platform/wireHeaders.ts";
 import { createCall } from "../../src/mesh/call.ts";
 import type { Call } from "../../src/mesh/call.ts";
+import { Counters } from "../../src/mesh/counters.ts";
+import { EventLog } from "../../src/mesh/eventLog.ts";
+import { LatencySamples } from "../../src/mesh/latencySamples.ts";
+import { createTargetProtocol } from "../../src/mesh/protocol.ts";
+import { Runner } from "../../src/mesh/runner.ts";
 import type { ForwardedRequest, MeshConfig, Route } from "../../src/mesh/types.ts";
 
 export function makeRoute(fields: Partial<Route> = {}): Route {
@@ -86,3 +92,26 @@
         ...fields,
     };
 }
+
+/** A runner for a target at a loopback port, which is ready with id `i` and service `s`. */
+export function makeRunner(
+    { port, slots, write = () => undefined }: {
+        readonly port: number;
+        readonly slots: number;
+        readonly write?: (line: string) => void;
+    },
+): Runner {
+    const runner = new Runner({
+        host: "127.0.0.1",
+        port,
+        counters: new Counters(),
+        latencies: new LatencySamples(),
+        log: new EventLog({ write }),
+        protocol: createTargetProtocol(WIRE_HEADERS, lengthMatchesSeal),
+        entryCutoffOf: () => 1023,
+        crashGuard: { onCrash: () => undefined, onAnswered: () => undefined },
+        routeCalls: { observe: () => undefined },
+    });
+    runner.setTarget({ id: "i", service: "s", state: "ready", slots, bornAt: 1 });
+    return runner;
+}
--- a/test/support/standinTarget.ts
+++ b/test/support/standinTarget.ts
@@ -45,6 +45,8 @@
     /** Path of the requests that crash the target. */
     crashPath: string | undefined;
     crashCount = 0;
+    /** Time in ms from a request to its response. */
+    workMs = 0;
     readonly executed: ExecutedRequest[] = [];
     /** Ids of the requests whose connection was closed before the response was complete. */
     readonly abortedIds: string[] = [];
@@ -147,6 +149,7 @@
         res.on("close", () => {
             if (!res.writableFinished) this.abortedIds.push(id);
         });
+        if (this.workMs > 0) await new Promise(resolve => setTimeout(resolve, this.workMs));
         if (req.url === this.crashPath) this.crash();
         else await this.respond(id, req.socket, res);
     }
