Keep a stored record that a stopping process has not read (DRAIN)

Cause: a node without a target removed its record at a stop, also if it did not know yet what an earlier process had stored.

Change: it removes the record only once that question is settled.

--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -221,9 +221,13 @@
             () => this.startRefusingRuns(),
             this.options.graceMs * SHUTDOWN_PEER_RUNS_SHARE,
         );
-        this.localTarget.history.close();
-        if (this.localTarget.record === undefined) this.options.store.publish(this.options.name, undefined);
-        else if (this.localTarget.record.state === "gone") this.publishToStore();
+        const { record, history } = this.localTarget;
+        if (record?.state === "gone") this.publishToStore();
+        // While it is not known what an earlier process has stored, that must not be removed.
+        else if (record === undefined && !history.isWaiting) {
+            this.options.store.publish(this.options.name, undefined);
+        }
+        history.close();
         await this.waitUntilDrained();
         this.options.log.unlimitedEvent("stopped", {
             active: this.forwarder.activeCount,
@@ -267,6 +271,7 @@
         clearTimeout(this.refuseRunsTimer);
         this.clientServer.close();
         this.options.store.stop();
+        this.localTarget.history.close();
         this.runner.close();
         this.peers.close();
         this.peerServer.close();
--- a/src/mesh/targetHistory.ts
+++ b/src/mesh/targetHistory.ts
@@ -122,7 +122,7 @@
         if (path === undefined) return;
         this.known = undefined;
         this.options.checkHealth(path, healthyId => {
-            if (healthyId === known.id) this.options.onRestored(known);
+            if (healthyId === known.id && !this.isClosed) this.options.onRestored(known);
         });
     }
 }
--- a/test/platform/restarts.test.ts
+++ b/test/platform/restarts.test.ts
@@ -3,6 +3,8 @@
 import { PlatformMesh, waitFor } from "../support/platformMesh.ts";
 import type { MeshHost } from "../support/platformMesh.ts";
 
+const NODES_TOPIC = "keyed.filbertspool-nodes";
+
 describe("a restarted node", () => {
     let mesh: PlatformMesh;
 
@@ -82,6 +84,29 @@
         node.close();
     });
 
+    it("does not use a target that left, after two restarts of which the first one could not read the store", async () => {
+        const [edge, shop1] = mesh.hosts;
+        await shop1!.app.deregister();
+        await shop1!.node.stop();
+        await waitFor(
+            "stored",
+            () => mesh.store.newest(NODES_TOPIC).get("shop-1")?.includes("hasLeft") === true,
+        );
+        mesh.store.fault = "busy";
+        const first = await mesh.startNode(shop1!.settings);
+        const stopped = first.node.stop();
+        await shop1!.app.heartbeat("ready");
+        mesh.store.fault = "none";
+        await stopped;
+        edge!.node.meshNode.directory.remove("shop-1");
+        const { node } = await mesh.startNode(shop1!.settings);
+        await shop1!.app.heartbeat("ready");
+        await waitFor("connected", () => isConnected(edge!));
+        await sendTen(edge!);
+        expect(shop1!.app.executed).to.deep.equal([]);
+        node.close();
+    });
+
     it("uses the target of another service that takes over the address of one that left", async () => {
         const [edge, shop1] = mesh.hosts;
         await shop1!.app.deregister();
