--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -223,7 +223,7 @@
         );
         const { record, history } = this.localTarget;
         if (record?.state === "gone") this.publishToStore();
-        // While it is not known what an earlier process has stored, that must not be removed.
+        // Until the history is settled, an earlier process may have stored that the target left; that must stay.
         else if (record === undefined && !history.isWaiting) {
             this.options.store.publish(this.options.name, undefined);
         }
--- a/src/mesh/targetHistory.ts
+++ b/src/mesh/targetHistory.ts
@@ -1,7 +1,7 @@
 /**
  * What earlier processes of this node knew of the local target, according to the store and to other nodes. A target that
  * was ready is used again before its next heartbeat, if it is healthy. A target that had begun to leave stays so: its
- * late heartbeats say `ready`, so no such heartbeat is believed before the question is settled.
+ * late heartbeats say `ready`, so no such heartbeat is believed before it is settled whether the target had left.
  *
  * The store may hold a record that is out of date, because the earlier process could not write that the target left.
  * Other nodes were told so directly. Therefore, both are asked.
@@ -16,10 +16,10 @@
     readonly healthPathOf: (service: string) => string | undefined;
     /** Calls back with the instance id of a healthy target, or `undefined`. */
     readonly checkHealth: (path: string, onChecked: (healthyId: string | undefined) => void) => void;
-    /** Called with each record of a target that has begun to leave, also after the question is settled. */
+    /** Called with each record of a target that has begun to leave, also later than `onSettled`. */
     readonly onLeft: (target: TargetRecord) => void;
     readonly onRestored: (target: TargetRecord) => void;
-    /** Called when the question is settled, with the latest announcement that was held back, if any. */
+    /** Called when it is settled whether the target had left, with the latest announcement held back, if any. */
     readonly onSettled: (held: Announcement | undefined, hasEarlierProcess: boolean) => void;
 }
 
@@ -48,7 +48,7 @@
         return !this.isSettled && !this.isClosed;
     }
 
-    /** Returns whether an announcement was held back until the question is settled. */
+    /** Returns whether an announcement was held back until it is settled whether the target had left. */
     hold(announcement: Announcement): boolean {
         if (this.isSettled || announcement.state !== "ready") return false;
         const { held } = this;
--- a/src/mesh/targetRegistration.ts
+++ b/src/mesh/targetRegistration.ts
@@ -1,7 +1,8 @@
 /**
  * State of the local target, as the target announces it in its heartbeats. Announcements may arrive late, twice or from
  * an earlier start of the target. The one with the latest start time, then the highest sequence number, is valid. Within
- * one start, the state only advances from `ready` to `draining` to `gone`, whatever the order of arrival.
+ * one start, the state only advances from `ready` to `draining` to `gone`, whatever the order of arrival. If the clock
+ * was set back between two starts, the current one has the earlier time; see `hasReplaced`.
  */
 import { isSameStart, mergeTargets } from "./targetRecords.ts";
 import type { TargetRecord, TargetState } from "./types.ts";
@@ -40,7 +41,7 @@
     private challenger: Challenger | undefined;
     /** The start that a challenger has replaced, whose late announcements look newer. */
     private replaced: Announcement | undefined;
-    /** Unix time in ms at which targets deregistered that are not the latest one, by their ids. */
+    /** Deregistrations of targets other than the latest one: Unix time in ms by id. */
     private readonly deregisteredAt = new Map<string, number>();
 
     constructor(private readonly address: string) {}
