--- a/src/outbound.ts
+++ b/src/outbound.ts
@@ -8,6 +8,8 @@
 import type { Headers } from "./headers.ts";
 
 const RESPONSE_BUFFER_BYTES = 64 * 1024;
+/** A higher status is no HTTP response (RFC 9110, section 15), so the caller must not get it as one. */
+const MAX_STATUS = 599;
 
 export interface OutboundRequest {
     readonly method: string;
@@ -121,6 +123,8 @@
         status: number,
         headers: Record<string, string | string[] | undefined>,
     ): void {
+        // undici itself rejects a status below 100.
+        if (status > MAX_STATUS) return controller.abort(new Error(`invalid status ${status}`));
         if (status < 200) return;
         this.body = new ResponseBody(controller);
         this.resolve({ status, headers: headers as Headers, body: this.body });
--- a/test/endToEndBodies.test.ts
+++ b/test/endToEndBodies.test.ts
@@ -76,6 +76,18 @@
         expect(JSON.parse(text)).to.include({ outcome: "unknown", reason: "truncated" });
     });
 
+    // A target in trouble may send a status line with a number that is no HTTP status (000 was seen elsewhere).
+    for (const status of ["000", "099", "600", "999"]) {
+        it(`fails a response with the status ${status} instead of forwarding it`, async () => {
+            handle = req => void req.socket.write(`HTTP/1.1 ${status} Odd\r\ncontent-length: 2\r\n\r\nno`);
+            const { status: received, text } = await fetchText(bookingUrl("/footage"));
+            expect(received).to.equal(502);
+            expect(JSON.parse(text)).to.include({ outcome: "unknown" });
+            handle = (_req, res) => void res.end("next");
+            expect((await fetchText(bookingUrl("/footage"))).text).to.equal("next");
+        });
+    }
+
     for (const size of [MIB, 3 * MIB + 1]) {
         it(`forwards a request body of ${size} bytes completely`, async () => {
             handle = async (req, res) => {
--- a/test/mesh/httpFraming.test.ts
+++ b/test/mesh/httpFraming.test.ts
@@ -169,6 +169,15 @@
         expect(reader.end()).to.equal(undefined);
     });
 
+    // A target in trouble may send such a status line; forwarded, the client would take it for a response.
+    it("rejects a response whose status is not between 100 and 599", () => {
+        for (const status of ["000", "099", "600", "999", "20", "2000"]) {
+            const reader = createResponseReader();
+            reader.feed(Buffer.from(`HTTP/1.1 ${status} Odd\r\nContent-Length: 0\r\n\r\n`));
+            expect(() => reader.next(), status).to.throw(HttpSyntaxError);
+        }
+    });
+
     it("expects no body in the response to a HEAD request", () => {
         const reader = createResponseReader();
         reader.isBodyless = true;
