Split the graceful stop and the stored record from the node, and declare client accounts

The type of a client account and two refusal reasons are declared first, so that the parts that use them can be built side by side. No change of behaviour.

--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -77,6 +77,8 @@
     "memory",
     "deadline",
     "wrong-instance",
+    "unknown-caller",
+    "quota",
 ];
 /** A reason's index is its code on the wire. */
 const FAILURE_REASONS: readonly FailureReason[] = [
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -14,15 +14,16 @@
 import { Counters } from "./counters.ts";
 import { CrashGuard } from "./crashGuard.ts";
 import { Forwarder } from "./forwarder.ts";
+import { GracefulStop } from "./gracefulStop.ts";
 import { LatencySamples } from "./latencySamples.ts";
 import { LoadLog } from "./loadLog.ts";
 import { LocalTarget } from "./localTarget.ts";
-import { safeParseNodeRecord } from "./nodeDirectory.ts";
 import type { NodeDirectory } from "./nodeDirectory.ts";
 import type { MeshNodeOptions } from "./nodeOptions.ts";
 import { PauseDetector } from "./pauseDetector.ts";
 import { Peers } from "./peers.ts";
 import { PeerServer } from "./peerServer.ts";
+import { RecordPublisher } from "./recordPublisher.ts";
 import { Runner } from "./runner.ts";
 import { isSameTarget } from "./targetRecords.ts";
 import type { Announcement } from "./targetRegistration.ts";
@@ -30,20 +31,6 @@
 
 const TICK_MS = 100;
 const TICKS_PER_SECOND = 10;
-/** A stopping node runs at least this long, since clients send to it until two readiness checks have failed. */
-const MIN_SHUTDOWN_MS = 2300;
-/**
- * Share of the grace period in which a stopping node still accepts runs from other nodes, since its target keeps
- * running and can be reached only through this node. Accepted runs have the rest of the period to complete.
- */
-const SHUTDOWN_PEER_RUNS_SHARE = 1 / 3;
-/** Client requests that arrive later than this after the stop signal are refused: clients no longer send to the node. */
-const SHUTDOWN_REFUSE_CLIENTS_AFTER_MS = 2900;
-/** A stopping node accepts a request only if this many times the mean latency of its route is left. */
-const LATENCY_MARGIN = 1.25;
-/** A stopping node closes about this long before the end of the grace period, since the exit takes time. */
-const SHUTDOWN_RESERVE_MS = 800;
-
 export class MeshNode {
     readonly counters = new Counters();
     readonly latencies = new LatencySamples();
@@ -62,15 +49,13 @@
     private config: MeshConfig | undefined;
     private service: string;
     private serial = 0;
-    private stoppingSince: number | undefined;
+    private readonly gracefulStop: GracefulStop;
     private stopPromise: Promise<void> | undefined;
     private isRefusingRuns = false;
-    private refuseRunsTimer: NodeJS.Timeout | undefined;
     private ticks = 0;
     private tickTimer: NodeJS.Timeout | undefined;
     private readonly loadLog: LoadLog;
-    /** This node's record as it was last read from the store or written to it. */
-    private storedRecord: NodeRecord | undefined;
+    private readonly recordPublisher: RecordPublisher;
 
     constructor(private readonly options: MeshNodeOptions) {
         this.service = options.service;
@@ -97,6 +82,23 @@
             onRecorded: previous => this.applyTargetRecord(previous),
             onSettled: hasEarlierProcess => this.retryBudget.grantSlack(steadyNow(), hasEarlierProcess),
         });
+        this.gracefulStop = new GracefulStop({
+            graceMs: options.graceMs,
+            isIdle: () =>
+                this.forwarder.activeCount === 0 && this.runner.activeCount === 0
+                && this.clientServer.pendingCount === 0,
+        });
+        this.recordPublisher = new RecordPublisher({
+            name: options.name,
+            startedAt: options.startedAt,
+            ownRecord: () => this.ownRecord(),
+            isStopping: () => this.gracefulStop.isStopping,
+            publish: record => options.store.publish(options.name, record),
+            onEarlierRecord: ({ target }) => {
+                this.localTarget.history.onStoredTarget(target);
+                this.peers.requestOwnRecord();
+            },
+        });
         this.loadLog = new LoadLog({
             log: options.log,
             counters: this.counters,
@@ -128,7 +130,7 @@
             latencies: this.latencies,
             log: options.log,
             sendToNode: (node, req, listener) => this.peers.send(node, req, listener),
-            isRefusingClients: expectedMs => this.isRefusingClients(expectedMs),
+            isRefusingClients: expectedMs => this.gracefulStop.isRefusingClients(expectedMs),
             dependencies: this.routeDependencies,
             routeCalls: this.routeCalls,
             onNewDependency: dependency => this.peers.broadcastDependencies([dependency]),
@@ -142,7 +144,7 @@
             onHandlerError: err => options.log.event("request-error", { cause: String(err) }),
             parseHead: options.protocol.parseRequest,
             limits: () => toServerLimits(this.config?.limits),
-            isClosing: () => this.stoppingSince !== undefined,
+            isClosing: () => this.gracefulStop.isStopping,
         });
         this.peerServer = new PeerServer({
             ...options.peer,
@@ -170,7 +172,7 @@
     }
 
     get isReady(): boolean {
-        return this.config !== undefined && this.stoppingSince === undefined;
+        return this.config !== undefined && !this.gracefulStop.isStopping;
     }
 
     /** Until a configuration has arrived, every service counts as known. */
@@ -212,23 +214,19 @@
     }
 
     private async drainAndClose(): Promise<void> {
-        this.stoppingSince = steadyNow();
+        this.gracefulStop.begin(() => this.startRefusingRuns());
         this.options.log.unlimitedEvent("stopping", {
             active: this.forwarder.activeCount,
             runs: this.runner.activeCount,
         });
-        this.refuseRunsTimer = setTimeout(
-            () => this.startRefusingRuns(),
-            this.options.graceMs * SHUTDOWN_PEER_RUNS_SHARE,
-        );
         const { record, history } = this.localTarget;
-        if (record?.state === "gone") this.publishToStore();
+        if (record?.state === "gone") this.recordPublisher.publish();
         // Until the history is settled, an earlier process may have stored that the target left; that must stay.
         else if (record === undefined && !history.isWaiting) {
             this.options.store.publish(this.options.name, undefined);
         }
         history.close();
-        await this.waitUntilDrained();
+        await this.gracefulStop.waitUntilDrained();
         this.options.log.unlimitedEvent("stopped", {
             active: this.forwarder.activeCount,
             runs: this.runner.activeCount,
@@ -242,33 +240,10 @@
         this.broadcastRecord();
     }
 
-    /** Whether client requests that take about `expectedMs` might outlast this stopping process. */
-    private isRefusingClients(expectedMs: number): boolean {
-        if (this.stoppingSince === undefined) return false;
-        const elapsed = steadyNow() - this.stoppingSince;
-        const leftMs = this.options.graceMs - SHUTDOWN_RESERVE_MS - elapsed;
-        return elapsed > SHUTDOWN_REFUSE_CLIENTS_AFTER_MS || leftMs < expectedMs * LATENCY_MARGIN;
-    }
-
-    /** Resolves when idle, at the earliest after `MIN_SHUTDOWN_MS`, or `SHUTDOWN_RESERVE_MS` before the period ends. */
-    private waitUntilDrained(): Promise<void> {
-        return new Promise(resolve => {
-            const timer = setInterval(() => {
-                const elapsed = steadyNow() - this.stoppingSince!;
-                const isIdle = this.forwarder.activeCount === 0 && this.runner.activeCount === 0
-                    && this.clientServer.pendingCount === 0;
-                const mustEnd = elapsed > this.options.graceMs - SHUTDOWN_RESERVE_MS;
-                if (!mustEnd && !(isIdle && elapsed > MIN_SHUTDOWN_MS)) return;
-                clearInterval(timer);
-                resolve();
-            }, 50);
-        });
-    }
-
     /** Closes all connections at once, except those on which the target still runs a non-idempotent request. */
     close(): void {
         if (this.tickTimer !== undefined) clearInterval(this.tickTimer);
-        clearTimeout(this.refuseRunsTimer);
+        this.gracefulStop.close();
         this.clientServer.close();
         this.options.store.stop();
         this.localTarget.history.close();
@@ -309,7 +284,7 @@
             state: record?.state,
         });
         this.broadcastRecord();
-        this.publishToStore();
+        this.recordPublisher.publish();
     }
 
     /** Sends this node's record with a new serial number to all connected nodes. */
@@ -318,25 +293,6 @@
         this.peers.broadcastOwnRecord();
     }
 
-    /**
-     * Stores this node's record if its address or target is new. A node that stops after its target has left stores that,
-     * too: other nodes then forget it, but its next process needs to know, since the target may still run.
-     */
-    private publishToStore(): void {
-        const target = this.localTarget.record;
-        const isStopping = this.stoppingSince !== undefined;
-        // A stopping node stores a target only if it is no longer ready, so that the next process does not restore it.
-        if (isStopping && target?.state === "ready") return;
-        const hasLeft = isStopping && target?.state === "gone" || undefined;
-        const record = { ...this.ownRecord(), isRefusingRuns: undefined, hasLeft };
-        const { storedRecord: stored } = this;
-        const isStored = stored?.address === record.address && isSameTarget(stored.target, target)
-            && stored.hasLeft === hasLeft;
-        if (isStored) return;
-        this.storedRecord = record;
-        this.options.store.publish(this.options.name, record);
-    }
-
     private get ownAddress(): string {
         return `${this.options.peer.host}:${this.options.peer.port}`;
     }
@@ -354,24 +310,10 @@
     }
 
     private onStoredNode(name: string, input: unknown): void {
-        if (name === this.options.name) this.onStoredOwnRecord(input);
+        if (name === this.options.name) this.recordPublisher.onStored(input);
         else this.peers.onStoredRecord(name, input);
     }
 
-    /**
-     * Handles the record that an earlier process of this node stored. If its write was executed late, after a write of
-     * this process, the record of this process is stored again.
-     */
-    private onStoredOwnRecord(input: unknown): void {
-        const record = safeParseNodeRecord(input);
-        if (record?.name !== this.options.name || record.startedAt === this.options.startedAt) return;
-        const isOverwritten = this.storedRecord !== undefined;
-        this.storedRecord = record;
-        this.localTarget.history.onStoredTarget(record.target);
-        this.peers.requestOwnRecord();
-        if (isOverwritten) this.publishToStore();
-    }
-
     /** Applies a configuration unless it cannot be decoded or is not newer than the one in force. */
     applyConfig(encoded: Buffer): void {
         this.onConfig(encoded, "local");
--- a/src/mesh/types.ts
+++ b/src/mesh/types.ts
@@ -22,6 +22,17 @@
     readonly services: readonly WeightedService[];
 }
 
+/** A customer of the operator, known by its API keys. */
+export interface ClientAccount {
+    readonly name: string;
+    /** Takes precedence over the priority of a route; 0 is the most important. */
+    readonly priority: number;
+    /** Requests per second that the account may send over all nodes; 0 if there is no limit. */
+    readonly ratePerS: number;
+    /** Requests that it may send at once beyond that rate. */
+    readonly burst: number;
+}
+
 export interface ServiceConfig {
     readonly name: string;
     readonly healthPath: string;
@@ -116,7 +127,11 @@
     | "stopping"
     | "crashes-targets"
     | "memory"
-    | "deadline";
+    | "deadline"
+    // A request without a key whose id is that of a nested call, but no such run is in progress.
+    | "unknown-caller"
+    // The account has used up its quota; the response has status 429.
+    | "quota";
 
 /** Why it is unknown whether a request was executed, or why its response cannot be used. */
 export type FailureReason =
--- a/src/policy/retryAfter.ts
+++ b/src/policy/retryAfter.ts
@@ -78,6 +78,8 @@
         case "link-down":
         case "stopping":
         case "deadline":
+        case "unknown-caller":
+        case "quota":
             return Math.min(
                 leftMs * HONOURED_WAIT_SHARE_OF_TIME_LEFT,
                 TRANSIENT_BASE_WAIT_MS + TRANSIENT_JITTER_MS * rand(),
--- a/test/mesh/requestLog.test.ts
+++ b/test/mesh/requestLog.test.ts
@@ -30,6 +30,8 @@
     "crashes-targets": true,
     "memory": true,
     "deadline": true,
+    "unknown-caller": true,
+    "quota": true,
 };
 const FAILURE_REASONS: Readonly<Record<FailureReason, true>> = {
     "link-lost": true,
