Identify client accounts by their API keys, with priority and quota check

Cause: deployments with client accounts need authentication at the entry node, the account's name at the target, and admission by account. Change: the configuration's accounts, keys and anonymous routes are decoded; the entry node identifies each caller against the configuration in force, responds with 401 or 503 unknown-caller, and asks the quotas (QuotaGate) before load admission. Key and name fields are removed from requests. Account and route priorities that occur are ranked into the 8 admission priorities. A refusal with 429 does not count as served.

--- a/src/http/clientConnection.ts
+++ b/src/http/clientConnection.ts
@@ -26,6 +26,7 @@
     202: "Accepted",
     204: "No Content",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     408: "Request Timeout",
     413: "Content Too Large",
--- a/src/http/messageHead.ts
+++ b/src/http/messageHead.ts
@@ -22,6 +22,8 @@
     readonly keepAlive: boolean;
     /** Whether the client waits for `100 Continue` before it sends the body. */
     readonly expectsContinue: boolean;
+    /** Key of the client's account; `undefined` if the request has none. Its lines are not part of `headers`. */
+    readonly accountKey: string | undefined;
     /** Header lines to forward, each with its CRLF. */
     readonly headers: string;
 }
@@ -53,6 +55,10 @@
     readonly seal: string;
     readonly notExecuted: string;
     readonly instanceId: string;
+    /** Key of a client's account, dropped from requests; `undefined` if the platform has no accounts. */
+    readonly accountKey?: string;
+    /** Name of a client's account. Set by the node, which drops any value in a received request. */
+    readonly accountName?: string;
 }
 
 export interface HeadParsers {
@@ -73,6 +79,7 @@
     | "request-id"
     | "deadline"
     | "set-by-node"
+    | "account-key"
     | "seal"
     | "not-executed"
     | "instance-id"
@@ -108,6 +115,7 @@
     requestId: string | undefined;
     deadline: string | undefined;
     expect: string | undefined;
+    accountKey: string | undefined;
     keepAliveParameters: string | undefined;
     seal: string | undefined;
     notExecuted: boolean;
@@ -137,9 +145,15 @@
         [names.seal.toLowerCase(), "seal"],
         [names.notExecuted.toLowerCase(), "not-executed"],
         [names.instanceId.toLowerCase(), "instance-id"],
+        ...optionalField(names.accountKey, "account-key"),
+        ...optionalField(names.accountName, "set-by-node"),
     ]);
 }
 
+function optionalField(name: string | undefined, kind: FieldKind): readonly (readonly [string, FieldKind])[] {
+    return name === undefined ? [] : [[name.toLowerCase(), kind]];
+}
+
 function parseRequestHead(text: string, kinds: Map<string, FieldKind>): RequestHead {
     const lineEnd = firstLineEnd(text);
     const match = REQUEST_LINE.exec(text.slice(0, lineEnd));
@@ -156,6 +170,7 @@
         deadlineMs: parseDeadline(fields.deadline),
         keepAlive: isPersistentConnection(fields.connectionOptions, match[3]!),
         expectsContinue: fields.expect?.toLowerCase() === "100-continue",
+        accountKey: fields.accountKey === "" ? undefined : fields.accountKey,
         headers: fields.headers,
         framing: requestFraming(fields),
     };
@@ -238,6 +253,7 @@
         requestId: undefined,
         deadline: undefined,
         expect: undefined,
+        accountKey: undefined,
         keepAliveParameters: undefined,
         seal: undefined,
         notExecuted: false,
@@ -281,6 +297,13 @@
             return !isRequest;
         case "set-by-node":
             return !isRequest;
+        case "account-key":
+            // With two keys, the account would depend on the order of the lines, which intermediaries may change.
+            if (isRequest && fields.accountKey !== undefined && fields.accountKey !== value) {
+                throw new HttpSyntaxError(400, "more than one account key");
+            }
+            fields.accountKey = value;
+            return !isRequest;
         case "expect":
             fields.expect = value;
             return false;
--- a/src/mesh/call.ts
+++ b/src/mesh/call.ts
@@ -4,7 +4,7 @@
 import type { HttpMessage } from "../http/messageReader.ts";
 import type { KnownNode } from "./nodeDirectory.ts";
 import type { Run } from "./runner.ts";
-import type { Outcome, RefusalReason, Route } from "./types.ts";
+import type { ClientAccount, Outcome, RefusalReason, Route } from "./types.ts";
 
 export interface Call {
     readonly req: HttpMessage<RequestHead>;
@@ -12,6 +12,10 @@
     readonly service: string;
     /** Run at the local target that made this request; `undefined` for a request from a client. */
     readonly parent: Run | undefined;
+    /** Account of the client; `undefined` for nested calls, anonymous requests and if there are no accounts. */
+    readonly account: ClientAccount | undefined;
+    /** Whether this may be a nested call whose run has ended, so that it is refused. */
+    readonly isCallerUnknown: boolean;
     /** Whether every step of this request is logged. */
     readonly isTraced: boolean;
     /** Admission level; lower levels are more important. */
@@ -36,12 +40,26 @@
      * response is still used if it has a status below 500 and arrives first.
      */
     cancelEarlierAttempt: (() => void) | undefined;
+    /** Whether the call has taken a request out of its account's quota and not given it back. */
+    holdsQuota: boolean;
+    /** Whether the decision about the account's quota is still to come; no attempt has been started then. */
+    isWaitingForQuota: boolean;
     isDone: boolean;
 }
 
 type CallFields = Pick<
     Call,
-    "req" | "route" | "service" | "parent" | "isTraced" | "level" | "startedAt" | "deadlineAt" | "respond"
+    | "req"
+    | "route"
+    | "service"
+    | "parent"
+    | "account"
+    | "isCallerUnknown"
+    | "isTraced"
+    | "level"
+    | "startedAt"
+    | "deadlineAt"
+    | "respond"
 >;
 
 /** Creates the state of a call that has had no attempt yet. The fields are listed because a spread is slow on the request path. */
@@ -51,6 +69,8 @@
         route: fields.route,
         service: fields.service,
         parent: fields.parent,
+        account: fields.account,
+        isCallerUnknown: fields.isCallerUnknown,
         isTraced: fields.isTraced,
         level: fields.level,
         startedAt: fields.startedAt,
@@ -63,6 +83,8 @@
         mayHaveRun: false,
         cancelAttempt: undefined,
         cancelEarlierAttempt: undefined,
+        holdsQuota: false,
+        isWaitingForQuota: false,
         isDone: false,
     };
 }
--- a/src/mesh/callAdmission.ts
+++ b/src/mesh/callAdmission.ts
@@ -47,6 +47,7 @@
 
     /** Returns why to refuse a call, if it is to be refused. Nested calls are subject to the crash guard only. */
     check(call: Call, now: number): CallRefusal | undefined {
+        if (call.isCallerUnknown) return { reason: "unknown-caller" };
         const isClientCall = call.parent === undefined;
         if (isClientCall && now >= call.deadlineAt) return { reason: "deadline" };
         if (isClientCall && this.options.isRefusingClients(this.meanLatencyMs(call))) {
--- a/src/mesh/callLog.ts
+++ b/src/mesh/callLog.ts
@@ -46,6 +46,15 @@
         this.logDecision("refused", call, { reason, cutoff });
     }
 
+    /** A request without a valid key, which is refused before it becomes a call. */
+    unauthorized(requestId: string, route: string): void {
+        this.log.event("unauthorized", {
+            id: requestId,
+            route,
+            configVersion: this.options.configVersion(),
+        });
+    }
+
     failed(call: Call, reason: FailureReason): void {
         this.logDecision("failed", call, { reason });
     }
@@ -70,6 +79,7 @@
         return {
             id: call.req.head.requestId,
             parent: call.parent?.req.requestId,
+            account: call.account?.name,
             route: call.route.name,
             service: call.service,
             level: call.level,
--- a/src/mesh/dispatcher.ts
+++ b/src/mesh/dispatcher.ts
@@ -18,6 +18,8 @@
     readonly directory: NodeDirectory;
     readonly runner: Runner;
     readonly callLog: CallLog;
+    /** Name of the header field with the name of the client's account, if the platform has one. */
+    readonly accountNameField?: string | undefined;
     /** Sends a request to another node and returns a function that cancels it. */
     readonly sendToNode: (node: KnownNode, req: ForwardedRequest, listener: OutcomeListener) => () => void;
     readonly onConfigVersion: (node: KnownNode, version: number) => void;
@@ -116,7 +118,7 @@
             callerService: this.options.ownService(),
             method: req.head.method,
             path: req.head.path,
-            headers: req.head.headers,
+            headers: this.forwardedHeaders(call),
             body: req.body,
             isIdempotent: route.isIdempotent,
             isNested: call.parent !== undefined,
@@ -128,6 +130,13 @@
         };
     }
 
+    private forwardedHeaders({ req: { head }, account }: Call): string {
+        const { accountNameField } = this.options;
+        return account === undefined || accountNameField === undefined
+            ? head.headers
+            : `${head.headers}${accountNameField}: ${account.name}\r\n`;
+    }
+
     private recordOutcome(node: KnownNode, outcome: Outcome, load: LoadReport | undefined): void {
         const now = steadyNow();
         if (load !== undefined) {
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -6,7 +6,7 @@
 import type { HttpResponse, SendResponse } from "../http/httpServer.ts";
 import type { RequestHead } from "../http/messageHead.ts";
 import type { HttpMessage } from "../http/messageReader.ts";
-import { levelOf, MAX_LEVEL } from "../policy/admissionLevel.ts";
+import { MAX_LEVEL } from "../policy/admissionLevel.ts";
 import { OverloadTracker } from "../policy/overloadTracker.ts";
 import { isOverloadReason } from "../policy/retryAfter.ts";
 import type { RefusalContext } from "../policy/retryAfter.ts";
@@ -14,11 +14,12 @@
 import { CallTally } from "../policy/routeCalls.ts";
 import type { RouteCalls } from "../policy/routeCalls.ts";
 import type { RouteDependencies } from "../policy/routeDependencies.ts";
-import { findRoute, TrafficSplitter } from "../policy/routeTable.ts";
-import { createCall, maxTargetWaitMs, refusalReasonOf } from "./call.ts";
+import { findRoute } from "../policy/routeTable.ts";
+import { maxTargetWaitMs, refusalReasonOf } from "./call.ts";
 import type { Call } from "./call.ts";
 import { CallAdmission } from "./callAdmission.ts";
 import type { CallAdmissionOptions } from "./callAdmission.ts";
+import { CallFactory, DEFAULT_DEADLINE_MS } from "./callFactory.ts";
 import { CallLog } from "./callLog.ts";
 import { steadyNow } from "./clock.ts";
 import type { Counters } from "./counters.ts";
@@ -27,13 +28,14 @@
 import type { EventLog } from "./eventLog.ts";
 import type { LatencySamples } from "./latencySamples.ts";
 import { emptyResponse, refusalResponse } from "./localResponses.ts";
-import type { Run } from "./runner.ts";
+import { QuotaCheck } from "./quotaCheck.ts";
+import type { QuotaGate } from "./quotaGate.ts";
 import type { FailureReason, MeshConfig, Outcome, RefusalReason } from "./types.ts";
 
 export interface ForwarderOptions extends
     Pick<
         DispatcherOptions,
-        "ownService" | "directory" | "runner" | "sendToNode" | "onConfigVersion"
+        "ownService" | "directory" | "runner" | "sendToNode" | "onConfigVersion" | "accountNameField"
     >,
     CallAdmissionOptions
 {
@@ -42,21 +44,21 @@
     readonly latencies: LatencySamples;
     readonly log: EventLog;
     readonly routeCalls: Pick<RouteCalls, "callsBelow">;
+    /** Without it, accounts have no quotas. */
+    readonly quotas?: QuotaGate | undefined;
     readonly onNewDependency: (dependencies: RouteDependencies) => void;
     readonly rand?: () => number;
 }
 
-const DEFAULT_DEADLINE_MS = 30_000;
-/** Timers of Node.js with a longer delay than 2^31 - 1 ms would fire at once. */
-const MAX_DEADLINE_MS = 24 * 3600 * 1000;
 const NO_CONFIG_REFUSAL_CONTEXT = { leftMs: DEFAULT_DEADLINE_MS, slackMs: 0, overloadDurationMs: 0 };
 const MAX_REQUEST_ID_BYTES = 255;
 const TARGET_POLL_INTERVAL_MS = 25;
 const TIMER_GRANULARITY_MS = 4;
 
 export class Forwarder {
-    private readonly trafficSplitter = new TrafficSplitter();
     private readonly admission: CallAdmission;
+    private readonly quotaCheck: QuotaCheck;
+    private readonly callFactory: CallFactory;
     private readonly overloadTracker = new OverloadTracker();
     private readonly callLog: CallLog;
     private readonly dispatcher: Dispatcher;
@@ -67,6 +69,11 @@
         this.rand = options.rand ?? Math.random;
         this.admission = new CallAdmission(options, this.rand);
         this.callLog = new CallLog({ log: options.log, configVersion: () => options.config()?.version });
+        this.callFactory = new CallFactory({ ...options, callLog: this.callLog });
+        this.quotaCheck = new QuotaCheck(
+            options.quotas,
+            (call, isAdmitted) => this.onQuotaDecided(call, isAdmitted),
+        );
         this.dispatcher = new Dispatcher({ ...options, callLog: this.callLog, rand: this.rand });
     }
 
@@ -80,7 +87,7 @@
     }
 
     onNewConfig(): void {
-        this.trafficSplitter.reset();
+        this.callFactory.onNewConfig();
     }
 
     /**
@@ -107,8 +114,12 @@
             respond(emptyResponse(404));
             return undefined;
         }
-        const call = this.createCall({ req, route, respond, arrivedAt });
-        return this.admit(call) ? () => this.onCallerGone(call) : undefined;
+        const call = this.callFactory.create({ req, route, respond, accounts: cfg.accounts, arrivedAt });
+        if (call === undefined) {
+            respond(emptyResponse(401));
+            return undefined;
+        }
+        return this.begin(call) ? () => this.onCallerGone(call) : undefined;
     }
 
     /** Whether a request belongs to an idempotent route, so that it may run although its response gets lost. */
@@ -117,55 +128,49 @@
         return cfg !== undefined && findRoute(cfg, head.host, head.path)?.isIdempotent === true;
     }
 
-    private createCall(
-        { req, route, respond, arrivedAt }: Pick<Call, "req" | "route" | "respond"> & { arrivedAt: number; },
-    ): Call {
-        const parent = this.findParent(req.head.requestId);
-        const requestedMs = req.head.deadlineMs ?? DEFAULT_DEADLINE_MS;
-        const deadlineMs = Math.min(requestedMs, route.timeoutMs, MAX_DEADLINE_MS);
-        this.options.counters.countRequest(route.name);
-        return createCall({
-            req,
-            route,
-            service: this.trafficSplitter.chooseService(route),
-            parent,
-            isTraced: this.options.log.isTraced(req.head.requestId),
-            level: parent?.level ?? levelOf(route.priority, req.head.requestId),
-            startedAt: arrivedAt,
-            deadlineAt: Math.min(arrivedAt + deadlineMs, parent?.deadlineAt ?? Infinity),
-            respond,
-        });
+    /** Refuses the call, starts its first attempt or waits for its quota. Returns whether it is still in progress. */
+    private begin(call: Call): boolean {
+        this.activeCalls++;
+        this.recordDependency(call);
+        if (call.parent === undefined) this.options.counters.clientRequests++;
+        switch (this.quotaCheck.acquire(call)) {
+            case "admitted":
+                return this.admit(call);
+            case "waiting":
+                this.startDeadlineTimer(call, steadyNow());
+                return true;
+            case "refused":
+                this.refuse(call, "quota");
+                return false;
+        }
     }
 
-    /**
-     * Finds the run at the local target that made this call: the id of a nested call is the id of that run, a dot and a
-     * suffix. A request without such a run is treated as a client request.
-     */
-    private findParent(requestId: string): Run | undefined {
-        const dot = requestId.lastIndexOf(".");
-        return dot <= 0 ? undefined : this.options.runner.findRun(requestId.slice(0, dot));
+    private onQuotaDecided(call: Call, isAdmitted: boolean): void {
+        if (isAdmitted) this.admit(call);
+        else this.refuse(call, "quota");
     }
 
     /** Refuses the call or starts its first attempt. Returns whether the call is still in progress. */
     private admit(call: Call): boolean {
         const now = steadyNow();
-        this.activeCalls++;
-        this.recordDependency(call);
-        if (call.parent === undefined) this.options.counters.clientRequests++;
         const refusal = this.admission.check(call, now);
         if (refusal !== undefined) {
             this.refuse(call, refusal.reason, refusal.cutoff);
             return false;
         }
+        if (call.deadlineTimer === undefined) this.startDeadlineTimer(call, now);
+        this.callLog.admitted(call);
+        this.startAttempt(call);
+        return !call.isDone;
+    }
+
+    private startDeadlineTimer(call: Call, now: number): void {
         const leftMs = Math.max(0, call.deadlineAt - now);
         // Node.js keeps timers of equal duration in one list; rounding the durations lets most timers share a list.
         call.deadlineTimer = setTimeout(
             () => this.onTimeout(call),
             Math.ceil(leftMs / TIMER_GRANULARITY_MS) * TIMER_GRANULARITY_MS,
         );
-        this.callLog.admitted(call);
-        this.startAttempt(call);
-        return !call.isDone;
     }
 
     /** Adds the called service and the dependencies of the call's route to those of the parent's route. */
@@ -297,6 +302,7 @@
                 }
                 this.callLog.responded(call, outcome.status);
                 this.options.latencies.record("answered", steadyNow() - call.startedAt);
+                if (call.parent === undefined && outcome.status < 500) this.options.counters.clientServed++;
                 this.respond(call, outcome);
                 return;
             case "not-run":
@@ -319,6 +325,10 @@
     private refuse(call: Call, reason: RefusalReason, cutoff?: number): void {
         this.options.counters.countRefusal(reason);
         if (call.parent === undefined) this.options.counters.clientRefusals++;
+        if (call.account !== undefined) {
+            this.options.counters.countAccountRefusal(call.account.name, reason);
+            this.quotaCheck.giveBack(call);
+        }
         this.callLog.refused(call, reason, cutoff);
         this.options.latencies.record("refused", steadyNow() - call.startedAt);
         this.respond(call, refusalResponse(reason, this.refusalContextOf(call, reason), this.rand));
@@ -334,6 +344,7 @@
                 ? this.overloadTracker.recordRefusal(route.name, now)
                 : 0,
             blockedForMs: reason === "crashes-targets" ? this.admission.blockedForMs(call) : undefined,
+            quotaWaitMs: reason === "quota" ? this.quotaCheck.retryAfterMs(call) : undefined,
         };
     }
 
@@ -346,6 +357,10 @@
     private onTimeout(call: Call): void {
         if (call.isDone) return;
         call.deadlineTimer = undefined;
+        if (call.isWaitingForQuota) {
+            this.refuse(call, "deadline");
+            return;
+        }
         this.cancelAttempts(call);
         this.fail(call, "timeout");
     }
@@ -355,6 +370,7 @@
         this.options.counters.countFailure("caller-gone");
         this.callLog.cancelled(call);
         this.cancelAttempts(call);
+        if (call.triedNodes.length === 0) this.quotaCheck.giveBack(call);
         this.markDone(call);
     }
 
@@ -364,7 +380,6 @@
     }
 
     private respond(call: Call, response: HttpResponse): void {
-        if (call.parent === undefined && response.status < 500) this.options.counters.clientServed++;
         this.markDone(call);
         call.respond(response);
     }
--- a/src/mesh/localResponses.ts
+++ b/src/mesh/localResponses.ts
@@ -18,7 +18,7 @@
 ): HttpResponse {
     const seconds = (retryAfterMs(reason, context, rand) / 1000).toFixed(3);
     return {
-        status: 503,
+        status: reason === "quota" ? 429 : 503,
         headers: `Retry-After: ${seconds}\r\nX-Refusal-Reason: ${reason}\r\n`,
         body: EMPTY_BODY,
     };
--- a/src/mesh/metricsPage.ts
+++ b/src/mesh/metricsPage.ts
@@ -1,7 +1,7 @@
 /**
  * Renders the counters and latencies of a mesh node in the Prometheus text format. The libraries are loaded at the
- * first scrape, not at startup. The number of label values is bounded: route names come from the configuration, and
- * all other label values are fixed.
+ * first scrape, not at startup. The number of label values is bounded: route names come from the configuration, at most
+ * 200 accounts are counted by name, and all other label values are fixed.
  */
 import type { Histogram } from "hdr-histogram-js";
 import type { Registry } from "prom-client";
@@ -73,12 +73,26 @@
             "reason",
             counters.runRefusalsByReason,
         );
+        const accountCounter = new Counter({
+            name: "filbertspool_account_refusals_total",
+            help: "Requests of client accounts refused, not run",
+            labelNames: ["account", "reason"],
+            registers: [registry],
+        });
+        for (const [account, refusals] of counters.accountRefusals) {
+            for (const [reason, value] of refusals) accountCounter.inc({ account, reason }, value);
+        }
         const addTotal = (name: string, help: string, value: number) => {
             new Counter({ name, help, registers: [registry] }).inc(value);
         };
         addTotal("filbertspool_client_requests_total", "Requests of clients", counters.clientRequests);
         addTotal("filbertspool_client_refused_total", "Requests of clients refused", counters.clientRefusals);
         addTotal("filbertspool_client_served_total", "Answers below 500 to clients", counters.clientServed);
+        addTotal(
+            "filbertspool_unauthorized_total",
+            "Requests without a valid key, answered with 401",
+            counters.unauthorizedRequests,
+        );
         addTotal("filbertspool_runs_started_total", "Requests sent to the target", counters.runsStarted);
         addTotal(
             "filbertspool_runs_waited_seconds_total",
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -121,6 +121,7 @@
         });
         this.forwarder = new Forwarder({
             ownService: () => this.service,
+            accountNameField: options.protocol.names.accountName,
             config: () => this.config,
             directory: this.peers.directory,
             runner: this.runner,
--- a/src/mesh/types.ts
+++ b/src/mesh/types.ts
@@ -1,4 +1,5 @@
 /** Types of the mesh data plane: routes, targets, requests and their outcomes. */
+import type { AccountDirectory } from "../policy/accounts.ts";
 
 export interface WeightedService {
     readonly service: string;
@@ -18,6 +19,8 @@
     readonly priority: number;
     /** Maximum number of attempts that may reach a target, the first included. */
     readonly maxAttempts: number;
+    /** Whether clients may send requests without a key; matters only if the configuration has accounts. */
+    readonly allowsAnonymous: boolean;
     /** One entry, or several among which traffic is split by weight. Never empty. */
     readonly services: readonly WeightedService[];
 }
@@ -55,6 +58,8 @@
     readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
     readonly services: ReadonlyMap<string, ServiceConfig>;
     readonly limits: ClientLimits;
+    /** `undefined` if clients need no key. */
+    readonly accounts: AccountDirectory | undefined;
     /** The configuration as it was received, to be sent to peers. */
     readonly encoded: Buffer;
 }
--- a/src/policy/admissionLevel.ts
+++ b/src/policy/admissionLevel.ts
@@ -4,7 +4,7 @@
  * level, so that all services shed the same requests.
  */
 export const LEVELS_PER_PRIORITY = 128;
-const PRIORITY_COUNT = 8;
+export const PRIORITY_COUNT = 8;
 /** The least important level. */
 export const MAX_LEVEL = PRIORITY_COUNT * LEVELS_PER_PRIORITY - 1;
 
--- a/src/policy/retryAfter.ts
+++ b/src/policy/retryAfter.ts
@@ -22,6 +22,8 @@
     readonly overloadDurationMs: number;
     /** Time in ms for which the request remains blocked, if it is. */
     readonly blockedForMs?: number | undefined;
+    /** Time in ms after which the quota of the account allows another request, if that is the reason. */
+    readonly quotaWaitMs?: number | undefined;
 }
 
 const OVERLOAD_REASONS: readonly RefusalReason[] = ["overload", "queue-timeout", "target-shed", "memory"];
@@ -69,6 +71,8 @@
         case "crashes-targets":
             // Usually longer than the caller waits: the request has no chance before.
             return context.blockedForMs ?? maxOverloadWaitMs(context);
+        case "quota":
+            return Math.min(leftMs * HONOURED_WAIT_SHARE_OF_TIME_LEFT, context.quotaWaitMs ?? 0);
         case "no-config":
         case "no-target":
         case "draining":
@@ -79,7 +83,6 @@
         case "stopping":
         case "deadline":
         case "unknown-caller":
-        case "quota":
             return Math.min(
                 leftMs * HONOURED_WAIT_SHARE_OF_TIME_LEFT,
                 TRANSIENT_BASE_WAIT_MS + TRANSIENT_JITTER_MS * rand(),
--- a/test/support/meshFixtures.ts
+++ b/test/support/meshFixtures.ts
@@ -1,5 +1,6 @@
 /** Creates data plane objects for tests; fields that a test does not give get default values. */
 import { lengthMatchesSeal, WIRE_HEADERS } from "../../platform/wireHeaders.ts";
+import type { SendResponse } from "../../src/http/httpServer.ts";
 import { createCall } from "../../src/mesh/call.ts";
 import type { Call } from "../../src/mesh/call.ts";
 import { Counters } from "../../src/mesh/counters.ts";
@@ -7,7 +8,7 @@
 import { LatencySamples } from "../../src/mesh/latencySamples.ts";
 import { createTargetProtocol } from "../../src/mesh/protocol.ts";
 import { Runner } from "../../src/mesh/runner.ts";
-import type { ForwardedRequest, MeshConfig, Route } from "../../src/mesh/types.ts";
+import type { ClientAccount, ForwardedRequest, MeshConfig, Route } from "../../src/mesh/types.ts";
 
 export function makeRoute(fields: Partial<Route> = {}): Route {
     return {
@@ -18,11 +19,16 @@
         latencyObjectiveMs: 1000,
         priority: 1,
         maxAttempts: 2,
+        allowsAnonymous: false,
         services: [{ service: "s", weight: 1 }],
         ...fields,
     };
 }
 
+export function makeAccount(fields: Partial<ClientAccount> = {}): ClientAccount {
+    return { name: "a", priority: 0, ratePerS: 0, burst: 0, ...fields };
+}
+
 export function makeConfig(fields: Partial<MeshConfig> = {}): MeshConfig {
     return {
         version: 1,
@@ -34,6 +40,7 @@
             headerTimeoutMs: 3000,
             idleTimeoutMs: 15_000,
         },
+        accounts: undefined,
         encoded: Buffer.alloc(0),
         ...fields,
     };
@@ -45,10 +52,20 @@
     readonly body?: string;
     readonly route?: Route;
     readonly isTraced?: boolean;
+    readonly account?: ClientAccount;
+    readonly respond?: SendResponse;
 }
 
 export function makeCall(
-    { id = "q", headers = "", body = "", route = makeRoute(), isTraced = false }: CallFields = {},
+    {
+        id = "q",
+        headers = "",
+        body = "",
+        route = makeRoute(),
+        isTraced = false,
+        account,
+        respond = () => undefined,
+    }: CallFields = {},
 ): Call {
     const head = {
         method: "GET",
@@ -58,6 +75,7 @@
         deadlineMs: 2000,
         keepAlive: true,
         expectsContinue: false,
+        accountKey: undefined,
         headers,
         framing: { kind: "length", bytes: body.length },
     } as const;
@@ -66,11 +84,13 @@
         route,
         service: "s",
         parent: undefined,
+        account,
+        isCallerUnknown: false,
         isTraced,
         level: 130,
         startedAt: 0,
         deadlineAt: 2000,
-        respond: () => undefined,
+        respond,
     });
 }
 
--- a/test/support/platformMesh.ts
+++ b/test/support/platformMesh.ts
@@ -83,6 +83,14 @@
     };
 }
 
+/** Client account in the JSON format of the operator's configuration. */
+export function wireAccount(
+    name: string,
+    fields: Readonly<Record<string, unknown>> = {},
+): Readonly<Record<string, unknown>> {
+    return { name, api_keys: [`key-of-${name}`], ...fields };
+}
+
 export class PlatformMesh {
     readonly store = new StandinStore();
     readonly hosts: MeshHost[] = [];
--- a/test/support/standinTarget.ts
+++ b/test/support/standinTarget.ts
@@ -38,6 +38,7 @@
     readonly caller: string | undefined;
     readonly deadlineMs: number;
     readonly body: string;
+    readonly headers: http.IncomingHttpHeaders;
 }
 
 export class StandinTarget {
@@ -145,6 +146,7 @@
             caller: req.headers["x-caller-service"] as string | undefined,
             deadlineMs: Number(req.headers["x-request-deadline-ms"]),
             body,
+            headers: req.headers,
         });
         res.on("close", () => {
             if (!res.writableFinished) this.abortedIds.push(id);
@@ -199,6 +201,10 @@
     readonly body?: string;
     readonly deadlineMs?: number;
     readonly signal?: AbortSignal;
+    /** Further header fields; a field with several values is sent as several lines. */
+    readonly headers?: Readonly<Record<string, string | string[]>>;
+    /** Keeps connections open; by default, each request has its own. */
+    readonly agent?: http.Agent;
 }
 
 export interface ReceivedResponse {
@@ -209,11 +215,16 @@
 
 /** Sends a request as a client on a node's host would. */
 export function sendRequest(options: SendOptions): Promise<ReceivedResponse> {
-    const { port, host, path, id, method = "GET", body, deadlineMs = 3000, signal } = options;
+    const { port, host, path, id, method = "GET", body, deadlineMs = 3000, signal, agent = false } = options;
     return new Promise((resolve, reject) => {
-        const headers = { "Host": host, "X-Request-Id": id, "X-Request-Deadline-Ms": `${deadlineMs}` };
+        const headers = {
+            "Host": host,
+            "X-Request-Id": id,
+            "X-Request-Deadline-Ms": `${deadlineMs}`,
+            ...options.headers,
+        };
         const req = http.request(
-            { host: "127.0.0.1", port, path, method, headers, agent: false, signal },
+            { host: "127.0.0.1", port, path, method, headers, agent, signal },
             res => {
                 const chunks: Buffer[] = [];
                 res.on("data", (chunk: Buffer) => chunks.push(chunk));
