Follow the store into a new era after it went back to an older copy

Cause: the store can return from a copy that is some seconds old, with offsets that are assigned again. Readers went on at their old offsets and skipped records, a record of a node that had been acknowledged was never written again, and a record of an earlier process could replace that of a node which was not connected.

Change: the store client reads Store-Era. In a new era, readers start over with the newest records, each node writes its own record again (also while it stops, and also a removal), and records that may be older than what is known only count by start time and serial number. A departure is told to the other nodes directly, who keep the node removed; the first follower writes a lost departure again. Stores without the header are served as before.

The stand-in store wakes waiting reads only for their own topic now; before, each record of a node ended the reads of the configuration, too.

--- a/src/mesh/metricsPage.ts
+++ b/src/mesh/metricsPage.ts
@@ -114,6 +114,9 @@
             load.serviceMs / 1000,
         );
         addGauge("filbertspool_config_version", "Version in force", load.configVersion);
+        if (node.storeEra !== undefined) {
+            addGauge("filbertspool_store_era", "Era of the store", node.storeEra);
+        }
         addGauge("filbertspool_nodes_known", "Nodes known, this one included", node.directory.size);
     }
 
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -118,6 +118,8 @@
             crashState: () => this.crashGuard.stateReport(),
             targetHistory: this.localTarget.history,
             onNodeCountChange: nodes => this.retryBudget.setNodeCount(nodes),
+            storeEra: () => this.storeEra,
+            onReportedEra: era => options.store.onReportedEra(era),
         });
         this.forwarder = new Forwarder({
             ownService: () => this.service,
@@ -166,6 +168,11 @@
         return this.config?.version ?? 0;
     }
 
+    /** Era of the store as this node has last read it; `undefined` if the store does not state it. */
+    get storeEra(): number | undefined {
+        return this.options.store.era;
+    }
+
     /** Whether this node follows the store. */
     get storeRole(): StoreRole {
         return this.peers.storeRole();
@@ -185,9 +192,11 @@
         await Promise.all([this.clientServer.listen(), this.peerServer.listen()]);
         this.options.store.start({
             onConfig: encoded => this.onConfig(encoded, "store"),
-            onNode: (name, record) => this.onStoredNode(name, record),
+            onNode: (name, record, mayBeOlder) => this.onStoredNode(name, record, mayBeOlder),
+            departureSince: record => this.directory.departureSince(record),
+            onNewEra: () => this.peers.broadcastStoreState(),
             onNodesRead: () => this.localTarget.history.onStoreRead(),
-            onReachable: isReachable => this.peers.broadcastStoreReachable(isReachable),
+            onReachable: isReachable => this.peers.broadcastStoreState(isReachable),
             role: () => this.peers.storeRole(),
             hasConfig: () => this.config !== undefined,
         });
@@ -306,12 +315,13 @@
             serial: this.serial,
             target: this.localTarget.record,
             isRefusingRuns: this.isRefusingRuns || undefined,
+            hasLeft: this.isRefusingRuns && this.localTarget.record?.state === "gone" || undefined,
         };
     }
 
-    private onStoredNode(name: string, input: unknown): void {
+    private onStoredNode(name: string, input: unknown, mayBeOlder: boolean): void {
         if (name === this.options.name) this.recordPublisher.onStored(input);
-        else this.peers.onStoredRecord(name, input);
+        else this.peers.onStoredRecord(name, input, mayBeOlder);
     }
 
     /** Applies a configuration unless it cannot be decoded or is not newer than the one in force. */
--- a/src/mesh/nodeDirectory.ts
+++ b/src/mesh/nodeDirectory.ts
@@ -13,7 +13,7 @@
 
 const MAX_PORT = 65_535;
 /** Maximum number of removed nodes whose last target is kept. */
-const MAX_REMOVED_TARGETS = 256;
+const MAX_REMOVED_NODES = 256;
 const shortTextSchema = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
 
 /** An IPv4 address and a port: with any other one, opening a connection throws or looks up a name. */
@@ -97,10 +97,16 @@
 
 /**
  * Who sent a record: the node that it describes (`itself`), the store, or another node (`others`). This node stores its
- * own record as `others`, too.
+ * own record as `others`, too, and records from a store that has gone back to an older copy.
  */
 export type RecordSource = "itself" | "store" | "others";
 
+interface RemovedNode {
+    readonly record: NodeRecord;
+    readonly target: TargetRecord;
+    readonly hasLeft: boolean;
+}
+
 export interface NodeDirectoryOptions {
     readonly name: string;
     readonly dataCentre: string;
@@ -112,8 +118,8 @@
     private readonly nodes = new Map<string, KnownNode>();
     private readonly namesByAddress = new Map<string, string>();
     private readonly nodesByService = new Map<string, KnownNode[]>();
-    /** Last targets of removed nodes, by the nodes' names. */
-    private readonly removedTargets = new Map<string, TargetRecord>();
+    /** Removed nodes that had a target, by name. */
+    private readonly removedNodes = new Map<string, RemovedNode>();
 
     constructor(private readonly options: NodeDirectoryOptions) {}
 
@@ -137,9 +143,11 @@
     /**
      * Stores a record if it is newer than the known record of the node; returns whether it was stored. While the node
      * is not connected, a record from the node itself or from the store is also stored if its start time is earlier,
-     * because the node's clock may have been set back between two starts.
+     * because the node's clock may have been set back between two starts. Others' records of a node that has left since
+     * are rejected.
      */
     upsert(record: NodeRecord, source: RecordSource = "others"): boolean {
+        if (source === "others" && this.hasLeftSince(record)) return false;
         if (!this.claimAddress(record, source)) return false;
         const existing = this.nodes.get(record.name);
         if (existing === undefined) {
@@ -181,6 +189,26 @@
         this.options.onRemoved(node);
     }
 
+    /** Record of a node with the last target that it had, also if the node has been removed. */
+    lastRecordOf(name: string): NodeRecord | undefined {
+        const known = this.nodes.get(name);
+        if (known !== undefined) return { ...known.record, target: known.lastTarget };
+        const removed = this.removedNodes.get(name);
+        return removed && { ...removed.record, target: removed.target };
+    }
+
+    /** Record of a node that has left, with its last target, if the node has left since `input` described it. */
+    departureSince(input: unknown): NodeRecord | undefined {
+        const record = safeParseNodeRecord(input);
+        if (record === undefined || record.hasLeft === true || !this.hasLeftSince(record)) return undefined;
+        return { ...this.lastRecordOf(record.name)!, isRefusingRuns: undefined, hasLeft: true };
+    }
+
+    private hasLeftSince({ name, startedAt }: NodeRecord): boolean {
+        const removed = this.removedNodes.get(name);
+        return removed?.hasLeft === true && startedAt <= removed.record.startedAt && !this.nodes.has(name);
+    }
+
     /**
      * Keeps addresses unique: removes any other node that has the address of this record. A record from the node
      * itself always takes precedence. A record from elsewhere does so only if the other node is not connected and did
@@ -198,7 +226,7 @@
     private add(record: NodeRecord): void {
         const isSelf = record.name === this.options.name;
         const node = new KnownNode(record, isSelf, record.dataCentre === this.options.dataCentre);
-        node.lastTarget ??= this.removedTargets.get(record.name);
+        node.lastTarget ??= this.removedNodes.get(record.name)?.target;
         this.nodes.set(record.name, node);
         this.namesByAddress.set(record.address, record.name);
         this.addToServiceIndex(node);
@@ -206,12 +234,12 @@
     }
 
     /** The node may start again, and its target may still run although it has deregistered. */
-    private keepTargetOf({ record: { name }, lastTarget }: KnownNode): void {
+    private keepTargetOf({ record, lastTarget, hasLeft }: KnownNode): void {
         if (lastTarget === undefined) return;
-        this.removedTargets.delete(name);
-        const [oldestName] = this.removedTargets.keys();
-        if (this.removedTargets.size >= MAX_REMOVED_TARGETS) this.removedTargets.delete(oldestName!);
-        this.removedTargets.set(name, lastTarget);
+        this.removedNodes.delete(record.name);
+        const [oldestName] = this.removedNodes.keys();
+        if (this.removedNodes.size >= MAX_REMOVED_NODES) this.removedNodes.delete(oldestName!);
+        this.removedNodes.set(record.name, { record, target: lastTarget, hasLeft });
     }
 
     private addToServiceIndex(node: KnownNode): void {
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -38,6 +38,9 @@
     readonly onNodeCountChange: (nodeCount: number) => void;
     /** Wants to know what other nodes know of this one, after a restart. */
     readonly targetHistory?: Pick<TargetHistory, "isWaiting" | "onPeerRecord">;
+    readonly storeEra?: () => number | undefined;
+    /** Handles the era of the store that another node has read. */
+    readonly onReportedEra?: (era: number) => void;
 }
 
 const dependenciesSchema = v.object({
@@ -195,13 +198,13 @@
         this.requestNodeList(channel);
     }
 
-    /** Handles a node's record in the store; `input` is `undefined` when the record was removed. */
-    onStoredRecord(name: string, input: unknown): void {
+    /** Handles a node's record in the store as `ControlStoreListener.onNode` describes it. */
+    onStoredRecord(name: string, input: unknown, mayBeOlder = false): void {
         if (input !== undefined) {
             const record = safeParseNodeRecord(input);
             // A record under the key of another node was not written by the node that it describes.
             if (record?.name === name && record.hasLeft === true) this.onNodeLeft(record);
-            else if (record?.name === name) this.applyRecord(record, "store");
+            else if (record?.name === name) this.applyRecord(record, mayBeOlder ? "others" : "store");
             else this.options.log.event("node-unreadable", { key: name.slice(0, MAX_LOGGED_KEY_LENGTH) });
             return;
         }
@@ -250,9 +253,9 @@
         return storeRoleOf(this.ownStoreRank, this.directory.allNodes());
     }
 
-    /** Tells all connected nodes whether this node can read the store. */
-    broadcastStoreReachable(isReachable: boolean): void {
-        this.canReadStore = isReachable;
+    /** Tells all connected nodes whether this node can read the store, and the era of the store. */
+    broadcastStoreState(canReadStore = this.canReadStore): void {
+        this.canReadStore = canReadStore;
         for (const link of this.links.values()) link.notify("node.update", this.ownState());
     }
 
@@ -261,6 +264,7 @@
             record: this.options.ownRecord(),
             configVersion: this.options.configVersion(),
             canReadStore: this.canReadStore,
+            storeEra: this.options.storeEra?.(),
         };
     }
 
@@ -291,8 +295,7 @@
         const name = typeof params === "object" && params !== null && "name" in params
             ? params.name
             : undefined;
-        const node = typeof name === "string" ? this.directory.get(name) : undefined;
-        return node === undefined ? {} : { ...node.record, target: node.lastTarget };
+        return (typeof name === "string" ? this.directory.lastRecordOf(name) : undefined) ?? {};
     }
 
     /** Requests a node's list unless this node knows enough nodes or has requested one in the last 500 ms. */
@@ -321,10 +324,12 @@
 
     private onNodeUpdate(params: unknown): void {
         if (typeof params !== "object" || params === null) return;
-        const { record, configVersion, canReadStore } = params as Readonly<Record<string, unknown>>;
+        const { record, configVersion, canReadStore, storeEra } = params as Readonly<Record<string, unknown>>;
         const node = this.applyRecord(record, "itself");
         if (node === undefined) return;
         node.canReadStore = canReadStore !== false;
+        if (node.record.hasLeft === true) node.hasLeft = true;
+        if (Number.isSafeInteger(storeEra)) this.options.onReportedEra?.(storeEra as number);
         this.links.get(node)?.reconnectNow();
         if (typeof configVersion === "number") this.onPeerConfigVersion(node, configVersion);
     }
--- a/src/mesh/recordPublisher.ts
+++ b/src/mesh/recordPublisher.ts
@@ -1,6 +1,7 @@
 /**
  * Keeps this node's record in the control store: stores it when its address or target is new, and again if a late write
- * of an earlier process has overwritten it.
+ * of an earlier process has overwritten it or another node has removed it. The `ControlStore` writes it again after the
+ * store has gone back to an older copy.
  */
 import { safeParseNodeRecord } from "./nodeDirectory.ts";
 import { isSameTarget } from "./targetRecords.ts";
@@ -45,9 +46,17 @@
 
     /**
      * Handles this node's record as read from the store. If a write of an earlier process was executed late, after a write
-     * of this process, the record of this process is stored again.
+     * of this process, the record of this process is stored again. So it is if `input` is `undefined`: another node has
+     * removed the record of an earlier process, and the store went back to an older copy at that moment.
      */
     onStored(input: unknown): void {
+        if (input === undefined) {
+            // A record of an earlier process that was removed is of no use any more.
+            const wasOwn = this.storedRecord?.startedAt === this.options.startedAt;
+            this.storedRecord = undefined;
+            if (wasOwn) this.publish();
+            return;
+        }
         const record = safeParseNodeRecord(input);
         const { name, startedAt } = this.options;
         if (record?.name !== name || record.startedAt === startedAt) return;
--- a/test/platform/platformStore.test.ts
+++ b/test/platform/platformStore.test.ts
@@ -6,6 +6,7 @@
 import { EventLog } from "../../src/mesh/eventLog.ts";
 import type { StoreRole } from "../../src/policy/storeRole.ts";
 import { waitFor } from "../support/platformMesh.ts";
+import { createStoreListener } from "../support/storeListener.ts";
 
 describe("the node records", () => {
     it("are read again if this node's record is stored during a read", async () => {
@@ -27,14 +28,7 @@
             close: () => undefined,
         };
         const store = new PlatformStore(client as StoreClient, new EventLog({ write: () => undefined }));
-        store.start({
-            onConfig: () => undefined,
-            onNode: () => undefined,
-            onNodesRead: () => undefined,
-            onReachable: () => undefined,
-            role: () => ({ kind: "rest" }),
-            hasConfig: () => false,
-        });
+        store.start(createStoreListener());
         await waitFor("the first read", () => endReads.length === 1);
         store.publish("n", {
             name: "n",
@@ -68,14 +62,7 @@
             close: () => undefined,
         };
         const store = new PlatformStore(client as StoreClient, new EventLog({ write: () => undefined }));
-        store.start({
-            onConfig: () => undefined,
-            onNode: () => undefined,
-            onNodesRead: () => undefined,
-            onReachable: () => undefined,
-            role: () => role,
-            hasConfig: () => hasConfig,
-        });
+        store.start(createStoreListener({ role: () => role, hasConfig: () => hasConfig }));
         await new Promise(resolve => setTimeout(resolve, 2000));
         store.stop();
         return reads;
--- a/test/platform/storeFollowers.test.ts
+++ b/test/platform/storeFollowers.test.ts
@@ -4,6 +4,7 @@
 import { followerCountOf } from "../../src/policy/storeRole.ts";
 import { PlatformMesh, waitFor, wireConfig } from "../support/platformMesh.ts";
 
+const NODES_TOPIC = "keyed.filbertspool-nodes";
 const NODE_COUNT = 32;
 /** Bounds of the platform: time after a disruption in which nodes need not be up to date, and time to apply a change. */
 const STABLE_WINDOW_MS = 3000;
@@ -50,6 +51,17 @@
         expect(mesh.store.requestCount - requestCount).to.be.at.most(10 * followerCountOf(NODE_COUNT));
     });
 
+    // Guards against lost records of nodes that read every 120 s only, and against a report by each node to each other.
+    it("gets back the records of all nodes within 4 s after the store went back, with few requests", async () => {
+        const { requestCount } = mesh.store;
+        mesh.store.rollBack(NODES_TOPIC, mesh.store.lengthOf(NODES_TOPIC));
+        await new Promise(resolve => setTimeout(resolve, 4000));
+        expect(mesh.store.newest(NODES_TOPIC).size).to.equal(NODE_COUNT);
+        // Beside the reads of the followers, at most one write and three reads of each node.
+        expect(mesh.store.requestCount - requestCount).to.be.at.most(6 * NODE_COUNT);
+        expect(versions().filter(version => version !== 27)).to.deep.equal([]);
+    });
+
     it("sends no state on an accepted connection, since it sends it on its own one", async () => {
         const socket = net.connect(mesh.hosts[0]!.settings.peer.port, "127.0.0.1");
         let receivedBytes = 0;
--- a/test/support/standinStore.ts
+++ b/test/support/standinStore.ts
@@ -15,11 +15,19 @@
     requestCount = 0;
     /** Loopback addresses at which requests are answered with status 503; each node may use an address of its own. */
     refusedAddresses: ReadonlySet<string> = new Set();
+    /** Value of `Store-Era` in all responses; `undefined` to send none, as earlier versions of the store do. */
+    era: number | undefined = 1;
+    /** Maximum number of records in a page of `/log-newest`. */
+    newestPageSize = Infinity;
+    /** Called after each page of `/log-newest` that is not the last one. */
+    onNewestPage: () => void = () => undefined;
+    /** Called after a write has been executed and before it is acknowledged, in the era in which it arrived. */
+    onAppend: () => void = () => undefined;
     private readonly topics = new Map<string, StoredRecord[]>();
     /** Offset of the first retained record, by topic. */
     private readonly firstOffsets = new Map<string, number>();
-    /** Callbacks of the waiting reads; each checks its topic for new records again. */
-    private readonly longPolls = new Set<() => void>();
+    /** Callbacks of the waiting reads, each with its topic, which it checks for new records again. */
+    private readonly longPolls = new Map<() => void, string>();
     private readonly sockets = new Set<Socket>();
     private readonly server = http.createServer((req, res) => this.handle(req, res)).on(
         "connection",
@@ -41,17 +49,17 @@
 
     /** Appends a configuration as the operator would. */
     putConfig(config: unknown): void {
-        this.append("keyed.op", { key: "config", value: Buffer.from(JSON.stringify(config)) });
+        this.append("keyed.op", configRecord(config));
     }
 
     append(topic: string, record: StoredRecord): void {
         this.recordsOf(topic).push(record);
-        for (const recheck of this.longPolls) recheck();
+        for (const [recheck, waitingTopic] of [...this.longPolls]) if (waitingTopic === topic) recheck();
     }
 
     /** Ends all waiting reads as if their wait was over. */
     endLongPolls(): void {
-        for (const recheck of [...this.longPolls]) recheck();
+        for (const recheck of [...this.longPolls.keys()]) recheck();
     }
 
     /**
@@ -71,6 +79,22 @@
         this.firstOffsets.set(topic, this.recordsOf(topic).length);
     }
 
+    /**
+     * Goes back to a copy in which the last `lostCount` records of a topic are missing. Their offsets are assigned again.
+     * Waiting reads go on waiting, also if other records are `appended` at once.
+     */
+    rollBack(topic: string, lostCount: number, ...appended: readonly StoredRecord[]): void {
+        const records = this.recordsOf(topic);
+        records.length = Math.max(0, records.length - lostCount);
+        records.push(...appended);
+        if (this.era !== undefined) this.era++;
+    }
+
+    /** Number of records of a topic, those of removed keys included. */
+    lengthOf(topic: string): number {
+        return this.recordsOf(topic).length;
+    }
+
     /** Newest value of each key of a topic, without removed keys. */
     newest(topic: string): ReadonlyMap<string, Buffer> {
         const newest = new Map<string, Buffer>();
@@ -93,6 +117,7 @@
         req.on("data", (chunk: Buffer) => chunks.push(chunk));
         req.on("end", () => {
             if (this.fault === "silent") return;
+            this.setEraHeader(res);
             if (this.fault === "busy" || this.refusedAddresses.has(req.socket.localAddress ?? "")) {
                 return void res.writeHead(503).end();
             }
@@ -101,13 +126,17 @@
         });
     }
 
+    private setEraHeader(res: http.ServerResponse): void {
+        if (this.era !== undefined) res.setHeader("Store-Era", `${this.era}`);
+    }
+
     private respond(url: URL, body: Buffer, res: http.ServerResponse): void {
         const topic = url.searchParams.get("topic")!;
         switch (url.pathname) {
             case "/log-append":
                 return this.respondToAppend(topic, url.searchParams.get("at"), body, res);
             case "/log-newest":
-                return this.respondToNewest(topic, res);
+                return this.respondToNewest(topic, url.searchParams.get("after"), res);
             case "/log-read":
                 return this.respondToRead(topic, url.searchParams, res);
             default:
@@ -124,33 +153,42 @@
             key: record.toString("utf8", 1, 1 + keyBytes),
             value: Buffer.from(record.subarray(1 + keyBytes)),
         });
-        res.end(JSON.stringify({ offset: 0, end: this.recordsOf(topic).length }));
+        this.onAppend();
+        res.end(JSON.stringify({ offset: end, end: end + 1 }));
     }
 
-    private respondToNewest(topic: string, res: http.ServerResponse): void {
-        const items = [...this.newest(topic)].map(([key, value]) => ({
+    private respondToNewest(topic: string, after: string | null, res: http.ServerResponse): void {
+        const all = [...this.newest(topic)].sort(([one], [other]) => one < other ? -1 : 1)
+            .filter(([key]) => after === null || key > after);
+        const items = all.slice(0, this.newestPageSize).map(([key, value]) => ({
             key,
             value: value.toString("base64"),
             offset: 0,
         }));
-        res.end(JSON.stringify({ items, has_more: false, end: this.recordsOf(topic).length }));
+        const hasMore = items.length < all.length;
+        res.end(JSON.stringify({ items, has_more: hasMore, end: this.recordsOf(topic).length }));
+        if (hasMore) this.onNewestPage();
     }
 
     private respondToRead(topic: string, query: URLSearchParams, res: http.ServerResponse): void {
         const from = Number(query.get("from"));
         const first = this.firstOffsets.get(topic) ?? 0;
-        if (from < first) return void res.writeHead(410).end(JSON.stringify({ first }));
+        const end = this.recordsOf(topic).length;
+        if (from < first || from > end) return void res.writeHead(410).end(JSON.stringify({ first }));
         const records = this.recordsOf(topic).slice(from);
         if (records.length > 0) return void res.end(encodeRead(this.recordsOf(topic).length, first, records));
         const recheck = () => {
             clearTimeout(timer);
             this.longPolls.delete(recheck);
-            if (this.fault === "none") this.respondToRead(topic, withoutWait(query), res);
+            if (this.fault === "none") {
+                this.setEraHeader(res);
+                this.respondToRead(topic, withoutWait(query), res);
+            }
         };
         const waitMs = Number(query.get("wait_ms") ?? 0);
         if (waitMs === 0) return void res.end(encodeRead(from, first, []));
         const timer = setTimeout(recheck, waitMs);
-        this.longPolls.add(recheck);
+        this.longPolls.set(recheck, topic);
         res.on("close", () => {
             clearTimeout(timer);
             this.longPolls.delete(recheck);
@@ -158,6 +196,11 @@
     }
 }
 
+/** A configuration as the operator would append it. */
+export function configRecord(config: unknown): StoredRecord {
+    return { key: "config", value: Buffer.from(JSON.stringify(config)) };
+}
+
 function withoutWait(query: URLSearchParams): URLSearchParams {
     const copy = new URLSearchParams(query);
     copy.set("wait_ms", "0");
