--- /dev/null
+++ b/test/mesh/quotas.test.ts
@@ -0,0 +1,154 @@
+/** The decisions of the quotas: no account may exceed its bound in any window, and accounts get what they are owed. */
+import { expect } from "chai";
+import * as fc from "fast-check";
+import { quotaLimitOf } from "../../src/policy/quotaTypes.ts";
+import type { QuotaAccount, QuotaBounds } from "../../src/policy/quotaTypes.ts";
+import { CONFIG_DELAY_MS, QuotaSimulation } from "../support/quotaSimulation.ts";
+import type { Demand, Fault, SimulationOptions } from "../support/quotaSimulation.ts";
+
+const SEED = 20_261_207;
+const RUNS = 400;
+const NODES = 6;
+const DURATION_MS = 16_000;
+const ROUNDING = 1e-6;
+/** With these, the bound is the quota itself, so nothing hides tokens that are used twice. */
+const STRICT: QuotaBounds = { windowMs: 5000, overage: 0, slack: 0 };
+const USUAL: QuotaBounds = { windowMs: 5000, overage: 0.1, slack: 20 };
+
+const account = (name: string, ratePerS: number, burst: number): QuotaAccount => ({ name, ratePerS, burst });
+
+const someNodes = fc.uniqueArray(fc.nat(NODES - 1), { minLength: 1, maxLength: NODES - 1 });
+const time = fc.integer({ min: 0, max: DURATION_MS });
+const accounts = fc.tuple(fc.integer({ min: 2, max: 120 }), fc.integer({ min: 0, max: 120 }))
+    .map(([rate, burst]) => [account("a", rate, burst), account("b", 40, 40)]);
+const demand: fc.Arbitrary<Demand> = fc.record({
+    account: fc.constantFrom("a", "b"),
+    nodes: someNodes,
+    ratePerS: fc.constantFrom(5, 60, 400),
+    from: time,
+    until: time,
+});
+const lasting = fc.tuple(time, fc.integer({ min: 200, max: 8000 }));
+const fault: fc.Arbitrary<Fault> = fc.oneof(
+    fc.tuple(lasting, someNodes)
+        .map(([[at, ms], nodes]): Fault => ({ type: "cut", at, until: at + ms, nodes })),
+    fc.tuple(lasting, fc.nat(NODES - 1))
+        .map(([[at, ms], node]): Fault => ({ type: "pause", at, until: at + ms, node })),
+    fc.tuple(time, fc.oneof(someNodes, fc.constant([...Array(NODES).keys()])))
+        .map(([at, nodes]): Fault => ({ type: "restart", at, nodes })),
+    fc.tuple(time, accounts).map(([at, changed]): Fault => ({ type: "accounts", at, accounts: changed })),
+);
+const schedule: fc.Arbitrary<SimulationOptions> = fc.record({
+    nodeCount: fc.constant(NODES),
+    poolCount: fc.constantFrom(1, 2),
+    accounts,
+    bounds: fc.constantFrom(STRICT, USUAL),
+    demands: fc.array(demand, { minLength: 1, maxLength: 6 }),
+    faults: fc.array(fault, { maxLength: 6 }),
+    durationMs: fc.constant(DURATION_MS),
+    seed: fc.nat(),
+    lossRate: fc.constantFrom(0, 0.05),
+    refusedRate: fc.constantFrom(0, 0.4),
+});
+
+/** Quotas of an account, each with the time from which no higher one allows more. */
+function quotasOf(name: string, { accounts, faults = [] }: SimulationOptions) {
+    const changes = faults.filter(({ type }) => type === "accounts").sort((x, y) => x.at - y.at);
+    const lists = [{ at: 0, accounts }, ...changes as { at: number; accounts: readonly QuotaAccount[]; }[]];
+    return lists.map((list, index) => ({
+        quota: list.accounts.find(other => other.name === name)!,
+        from: list.at,
+        until: (lists[index + 1]?.at ?? Infinity) + CONFIG_DELAY_MS + 500,
+    }));
+}
+
+function findViolation(simulation: QuotaSimulation, options: SimulationOptions): string | undefined {
+    const { windowMs, overage, slack } = options.bounds;
+    for (const [name, times] of simulation.ran) {
+        const quotas = quotasOf(name, options);
+        for (let first = 0, next = 0; first < times.length; first++) {
+            const start = times[first]!;
+            while (next < times.length && times[next]! - start < windowMs) next++;
+            const inForce = quotas.filter(({ from, until }) => from < start + windowMs && start < until);
+            const rate = Math.max(...inForce.map(({ quota }) => quota.ratePerS));
+            const burst = Math.max(...inForce.map(({ quota }) => quota.burst));
+            const allowed = (rate * windowMs / 1000 + burst) * (1 + overage) + slack;
+            if (next - first > allowed) return `${name} at ${start}: ${next - first} > ${allowed}`;
+        }
+    }
+    return undefined;
+}
+
+function simulate(options: SimulationOptions): QuotaSimulation {
+    const simulation = new QuotaSimulation(options);
+    simulation.run();
+    return simulation;
+}
+
+/** Requests that a single token bucket for all nodes would have admitted. */
+function owedOf({ name, ratePerS, burst }: QuotaAccount, { arrived }: QuotaSimulation): number {
+    let tokens = burst;
+    let last = 0;
+    let owed = 0;
+    for (const at of arrived.get(name) ?? []) {
+        tokens = Math.min(burst, tokens + (at - last) * ratePerS / 1000);
+        last = at;
+        if (tokens < 1) continue;
+        tokens--;
+        owed++;
+    }
+    return owed;
+}
+
+describe("quotas of client accounts", () => {
+    // Guards against tokens that two pool nodes give out for the same share, or that are used after they expired.
+    it("stay within the bound in every window, whatever fails", () => {
+        fc.assert(
+            fc.property(schedule, options => {
+                const simulation = simulate(options);
+                expect(findViolation(simulation, options)).to.equal(undefined);
+                expect(simulation.maxDelegatedShare).to.be.at.most(1 + ROUNDING);
+                if (options.faults?.some(({ type }) => type === "accounts") === true) return;
+                const limits = options.accounts.map(quota => quotaLimitOf(quota, options.bounds));
+                const capacity = limits.reduce(
+                    (sum, limit) => sum + limit.capacity + limit.isolatedTokens,
+                    0,
+                );
+                expect(simulation.maxTokens).to.be.at.most(capacity + ROUNDING);
+            }),
+            { seed: SEED, numRuns: RUNS },
+        );
+    });
+
+    describe("without faults at 65 nodes", () => {
+        const allNodes = [...Array(65).keys()];
+        const from = 5000;
+        const until = 35_000;
+        const big = account("big", 100, 50);
+        const small = account("small", 3.2, 5);
+        const flood = account("flood", 50, 25);
+
+        // Guards against shares that stay at nodes without traffic.
+        it("serve an account at 3 nodes, small accounts, and one far above its quota", () => {
+            const simulation = simulate({
+                nodeCount: 65,
+                accounts: [big, small, flood],
+                bounds: USUAL,
+                durationMs: until,
+                seed: SEED,
+                demands: [
+                    { account: "big", nodes: [3, 30, 50], ratePerS: 95, from, until },
+                    { account: "small", nodes: [7, 20], ratePerS: 2, from, until: 20_000 },
+                    { account: "small", nodes: allNodes, ratePerS: 2, from: 20_000, until },
+                    { account: "flood", nodes: allNodes, ratePerS: 400, from, until },
+                ],
+            });
+            for (const quota of [big, small, flood]) {
+                const served = simulation.ran.get(quota.name)!.length;
+                expect(served / owedOf(quota, simulation), quota.name).to.be.at.least(0.95);
+            }
+            // Guards against a cost that grows with the demand: 65 nodes, 35 s.
+            expect(simulation.reportCount / 65 / 35).to.be.at.most(6);
+        });
+    });
+});
