Test the quotas with real nodes, and mend a pool that regained tokens at once

Cause: a pool to which a share came back counted tokens made at the smaller share beyond its capacity (found by a new test, 70 tokens instead of 50). Change: buckets are reduced before the delegated shares grow.

--- a/src/policy/quotaPool.ts
+++ b/src/policy/quotaPool.ts
@@ -225,13 +225,15 @@
         const previous = this.delegations.get(node);
         if (isDelegating && until <= now) return;
         const share = isDelegating ? 1 / Math.max(nodeCount, this.view.nodeCount) : 0;
-        this.share += share - (previous?.share ?? 0);
+        const change = share - (previous?.share ?? 0);
+        // A bucket is reduced to the capacity of the shares that are left when it is used next, or here before they grow.
+        if (change > 0) this.refillAll();
+        this.share += change;
         if (isDelegating) {
             this.delegations.set(node, { share, until });
             this.nextExpiryAt = Math.min(this.nextExpiryAt, until);
         }
         else this.delegations.delete(node);
-        if (share < (previous?.share ?? 0)) this.refillAll();
     }
 
     /** Advances `shareTime` and removes delegations that have expired. */
@@ -246,13 +248,11 @@
     private expireDelegations(now: number, elapsed: number): void {
         let delegatedMs = 0;
         let share = 0;
-        let hasExpired = false;
         this.nextExpiryAt = Infinity;
         for (const [node, delegation] of this.delegations) {
             delegatedMs += delegation.share * Math.max(0, Math.min(now, delegation.until) - this.advancedAt);
             if (delegation.until <= now) {
                 this.delegations.delete(node);
-                hasExpired = true;
                 continue;
             }
             share += delegation.share;
@@ -260,10 +260,8 @@
         }
         this.shareTime += Math.min(elapsed, delegatedMs);
         this.share = share;
-        if (hasExpired) this.refillAll();
     }
 
-    /** Reduces all buckets to the capacity of the shares that are left. */
     private refillAll(): void {
         for (const bucket of this.buckets.values()) this.refill(bucket);
     }
--- a/test/mesh/quotas.test.ts
+++ b/test/mesh/quotas.test.ts
@@ -1,7 +1,9 @@
 /** The decisions of the quotas: no account may exceed its bound in any window, and accounts get what they are owed. */
 import { expect } from "chai";
 import * as fc from "fast-check";
-import { quotaLimitOf } from "../../src/policy/quotaTypes.ts";
+import { QuotaPool } from "../../src/policy/quotaPool.ts";
+import { QuotaShare } from "../../src/policy/quotaShare.ts";
+import { quotaLimitOf, QuotaTable, TAKE_BACK_MS, TOKEN_LIFETIME_MS } from "../../src/policy/quotaTypes.ts";
 import type { QuotaAccount, QuotaBounds } from "../../src/policy/quotaTypes.ts";
 import { CONFIG_DELAY_MS, QuotaSimulation } from "../support/quotaSimulation.ts";
 import type { Demand, Fault, SimulationOptions } from "../support/quotaSimulation.ts";
@@ -151,4 +153,139 @@
             expect(simulation.reportCount / 65 / 35).to.be.at.most(6);
         });
     });
+
+    // Guards against a handed-out capacity and rate that exceed the bound together.
+    it("hand out at most what the bound allows", () => {
+        const values = fc.tuple(fc.integer({ min: 1, max: 1e4 }), fc.integer({ min: 1, max: 1e4 }));
+        fc.assert(
+            fc.property(values, fc.constantFrom(STRICT, USUAL), ([rate, burst], bounds) => {
+                const { tokensPerMs, capacity, isolatedTokens } = quotaLimitOf(
+                    account("a", rate, burst),
+                    bounds,
+                );
+                const { windowMs, overage, slack } = bounds;
+                expect(tokensPerMs * windowMs + capacity + isolatedTokens).to.be.at.most(
+                    (rate * windowMs / 1000 + burst) * (1 + overage) + slack + ROUNDING,
+                );
+            }),
+            { seed: SEED },
+        );
+    });
+});
+
+describe("a node's share of a quota pool", () => {
+    const table = new QuotaTable(1, [account("a", 100, 100)], STRICT);
+    const twoNodes = { nodeCount: 2, rank: 0 };
+
+    function makePool(process = 1): QuotaPool {
+        return new QuotaPool({ poolCount: 1, poolIndex: 0, process, table, now: 0 });
+    }
+
+    function makeShare(node: string): QuotaShare {
+        const share = new QuotaShare({ node, process: 1, poolCount: 1, poolIndex: 0, table, freeAt: 0 });
+        share.setNodeCount(2);
+        share.setPoolNode("pool", 0);
+        return share;
+    }
+
+    /** Sends a report and its response; returns whether the report delegates the share. */
+    function exchange(share: QuotaShare, pool: QuotaPool, now: number, waiting = 0): boolean {
+        if (waiting > 0) share.setWaiting("a", waiting);
+        const sent = share.createReport(now);
+        share.setWaiting("a", 0);
+        share.onResponse(sent, pool.onReport(sent.report, twoNodes, now)!, now);
+        return sent.report.isDelegating;
+    }
+
+    /** Two nodes that have delegated their shares, and a full pool. */
+    function makeFullPool() {
+        const pool = makePool();
+        const shares = [makeShare("n1"), makeShare("n2")] as const;
+        for (let now = 1; now < 2000; now += 400) for (const share of shares) exchange(share, pool, now);
+        return { pool, shares };
+    }
+
+    // Guards against tokens that are still used when the pool node has already given them to others.
+    it("has no tokens after their lifetime", () => {
+        const { pool, shares: [share] } = makeFullPool();
+        exchange(share, pool, 2000, 10);
+        expect(share.acquire("a", 2000 + TOKEN_LIFETIME_MS - 1)).to.equal("admitted");
+        expect(share.acquire("a", 2000 + TOKEN_LIFETIME_MS)).to.not.equal("admitted");
+    });
+
+    // Guards against tokens that are kept from a share that has been taken back, and is used elsewhere.
+    it("loses tokens when the shares behind them are taken back", () => {
+        const { pool, shares: [share] } = makeFullPool();
+        exchange(share, pool, 2000, 80);
+        // Tokens are returned without demand, so some requests are needed.
+        for (let count = 0; count < 10; count++) share.acquire("a", 2000);
+        expect(share.tokensHeld(2000)).to.equal(70);
+        exchange(share, pool, 2400);
+        expect(pool.delegatedShareAt(2400)).to.equal(0.5);
+        expect(share.tokensHeld(2400)).to.be.at.most(50);
+    });
+
+    // Guards against tokens that are counted as used because an older report says so.
+    it("is not changed by a report that arrives after a later one", () => {
+        const { pool, shares: [share] } = makeFullPool();
+        const early = share.createReport(2000);
+        const later = share.createReport(2600);
+        expect(pool.onReport(later.report, twoNodes, 2610)).to.not.equal(undefined);
+        expect(pool.onReport(early.report, twoNodes, 2620)).to.equal(undefined);
+    });
+
+    // Guards against a pool that regains in an instant what it had kept for a share that was away meanwhile.
+    for (const way of ["expired", "withdrawn"] as const) {
+        it(`starts again without tokens after it was ${way}`, () => {
+            const { pool, shares: [share, other] } = makeFullPool();
+            const withdrawal = way === "withdrawn" ? other.setPoolNode("elsewhere", 2000) : undefined;
+            if (withdrawal !== undefined) pool.onReport(withdrawal.report, twoNodes, 2000);
+            const returnAt = way === "withdrawn" ? 2001 : 2801;
+            for (let now = 2000; now < returnAt; now += 400) exchange(share, pool, now);
+            const returned = makeShare("n2");
+            exchange(returned, pool, returnAt);
+            exchange(returned, pool, returnAt + 1);
+            expect(pool.delegatedShareAt(returnAt + 1)).to.equal(1);
+            exchange(share, pool, returnAt + 2, 100);
+            expect(share.tokensHeld(returnAt + 2)).to.be.at.most(51);
+        });
+    }
+
+    // Guards against a share that two pool nodes use at the same time.
+    it("is delegated to another pool node only after the tokens of the first one have expired", () => {
+        for (const isConfirmed of [true, false]) {
+            const { pool, shares: [share] } = makeFullPool();
+            exchange(share, pool, 2000);
+            const withdrawal = share.setPoolNode("other", 2100)!;
+            if (isConfirmed) {
+                share.onResponse(withdrawal, pool.onReport(withdrawal.report, twoNodes, 2110)!, 2120);
+            }
+            const other = makePool();
+            exchange(share, other, 2130);
+            const freeAt = isConfirmed ? 2120 + TOKEN_LIFETIME_MS : 2000 + TAKE_BACK_MS;
+            expect(exchange(share, other, freeAt - 1)).to.equal(false);
+            expect(exchange(share, other, freeAt)).to.equal(true);
+        }
+    });
+
+    it("is delegated to a new process of the pool node only after the time of the former one", () => {
+        const { pool, shares: [share] } = makeFullPool();
+        exchange(share, pool, 2000);
+        const restarted = makePool(2);
+        expect(exchange(share, restarted, 2100)).to.equal(true);
+        expect(restarted.delegatedShareAt(2100)).to.equal(0);
+        expect(exchange(share, restarted, 2100 + TAKE_BACK_MS - 1)).to.equal(false);
+        expect(exchange(share, restarted, 2100 + TAKE_BACK_MS)).to.equal(true);
+    });
+
+    // Guards against a burst of the former quota long after it was lowered.
+    it("has fewer tokens after its quota was lowered", () => {
+        const { pool, shares: [share] } = makeFullPool();
+        exchange(share, pool, 2000, 80);
+        const lower = new QuotaTable(2, [account("a", 10, 10)], STRICT);
+        share.setTable(lower);
+        pool.setTable(lower);
+        expect(share.tokensHeld(2001)).to.equal(8);
+        expect(pool.tokensKept(2001)).to.be.at.most(10);
+    });
 });
