Return tokens that exceed a node's demand, and ask again if only the prefetch is limited

Cause: after a flood at all nodes, these held most of the capacity for seconds, and the nodes with demand were told to wait 250 ms although tokens were left. Change: a node returns what exceeds its target with each report; an account counts as exhausted only if the pool has no token.

--- a/src/policy/quotaPool.ts
+++ b/src/policy/quotaPool.ts
@@ -5,7 +5,7 @@
  * pool keeps and those that nodes may still hold never exceed the capacity in proportion to these shares. Both rules
  * together bound the requests in any window; see docs/design/quotas.md.
  */
-import { DELEGATION_MS, intervalScaleOf, TOKEN_LIFETIME_MS } from "./quotaTypes.ts";
+import { DELEGATION_MS, intervalScaleOf, prefetchTargetOf, TOKEN_LIFETIME_MS } from "./quotaTypes.ts";
 import type {
     AccountKey,
     ProcessTime,
@@ -17,10 +17,6 @@
     ResponseEntry,
 } from "./quotaTypes.ts";
 
-/** Requests that a node expects in this time are given tokens in advance. */
-const PREFETCH_S = 0.3;
-/** A node with fewer requests per second gets tokens only for waiting requests; others might lack them meanwhile. */
-const MIN_PREFETCH_RATE = 2;
 /** Part of the kept tokens, and of the capacity, that is handed out in advance. */
 const PREFETCH_LEVEL_SHARE = 1 / 2;
 const PREFETCH_CAPACITY_SHARE = 2 / 3;
@@ -183,10 +179,7 @@
         bucket.level = Math.min(bucket.level, room - kept);
         const forWaiting = Math.min(waiting, Math.floor(bucket.level));
         bucket.level -= forWaiting;
-        const expected = demandPerS * PREFETCH_S * scale;
-        const wanted = demandPerS < MIN_PREFETCH_RATE
-            ? 0
-            : Math.max(0, Math.ceil(expected + Math.sqrt(expected)) - kept);
+        const wanted = Math.max(0, prefetchTargetOf(demandPerS, scale) - kept);
         const prefetchRoom = capacity * PREFETCH_CAPACITY_SHARE - bucket.outstanding - kept - forWaiting;
         const inAdvance = Math.max(
             0,
@@ -197,7 +190,7 @@
         bucket.outstanding += tokens;
         bucket.holders.set(node, { tokens, until: now + TOKEN_LIFETIME_MS * scale });
         const unserved = waiting - forWaiting;
-        const isExhausted = unserved > 0 || wanted > 0 && inAdvance === 0;
+        const isExhausted = unserved > 0 || wanted > inAdvance && bucket.level < 1;
         return [
             key,
             tokens - held,
--- a/src/policy/quotaShare.ts
+++ b/src/policy/quotaShare.ts
@@ -2,7 +2,7 @@
  * A node's side of one quota pool: the tokens that it holds, and to whom its share of the accounts is delegated. The
  * share is lent to one pool node at a time. A node without a connection to other nodes is its own pool node.
  */
-import { intervalScaleOf, TAKE_BACK_MS, TOKEN_LIFETIME_MS } from "./quotaTypes.ts";
+import { intervalScaleOf, prefetchTargetOf, TAKE_BACK_MS, TOKEN_LIFETIME_MS } from "./quotaTypes.ts";
 import type { ProcessTime, QuotaReport, QuotaResponse, QuotaTable, ReportEntry } from "./quotaTypes.ts";
 
 /** Interval of reports while the pool's accounts have requests at this node. */
@@ -16,7 +16,7 @@
 const MIN_LOW_BATCH = 4;
 /** Time constant of the smoothed demand. */
 const DEMAND_WINDOW_MS = 1000;
-/** Tokens without demand are returned once the expected requests per second are below this. */
+/** An account with fewer requests per second is left out of the reports if there is nothing else to report. */
 const MIN_DEMAND = 0.5;
 
 export type AcquireResult = "admitted" | "empty" | "exhausted";
@@ -310,9 +310,10 @@
             held.arrivals = 0;
             const isOfPoolNode = held.generation === this.generation;
             if (isOfPoolNode && now >= held.validUntil) held.tokens = 0;
-            if (held.demandPerS < MIN_DEMAND && isOfPoolNode) {
-                held.returned += held.tokens;
-                held.tokens = 0;
+            const excess = held.tokens - prefetchTargetOf(held.demandPerS, this.scale);
+            if (excess > 0 && isOfPoolNode) {
+                held.returned += excess;
+                held.tokens -= excess;
             }
             const tokens = isOfPoolNode ? held.tokens : 0;
             if (isOfPoolNode) held.ceiling = tokens;
--- a/src/policy/quotaTypes.ts
+++ b/src/policy/quotaTypes.ts
@@ -40,6 +40,10 @@
 export const TAKE_BACK_MS = DELEGATION_MS + TOKEN_LIFETIME_MS;
 /** With more nodes than this, all intervals are extended, so that a pool node gets no more reports per second. */
 const UNSCALED_NODES = 256;
+/** Requests that a node expects in this time are given tokens in advance. */
+const PREFETCH_S = 0.3;
+/** A node with fewer requests per second gets tokens only for waiting requests; others might lack them meanwhile. */
+const MIN_PREFETCH_RATE = 2;
 const NODES_PER_POOL = 64;
 /** Nodes work in batches, which need at least this many seconds of the rate as capacity. */
 const MIN_CAPACITY_S = 0.25;
@@ -49,6 +53,13 @@
     return Math.max(1, nodeCount / UNSCALED_NODES);
 }
 
+/** Tokens that a node with this demand should hold: for the expected requests and one standard deviation. */
+export function prefetchTargetOf(demandPerS: number, scale: number): number {
+    if (demandPerS < MIN_PREFETCH_RATE) return 0;
+    const expected = demandPerS * PREFETCH_S * scale;
+    return Math.ceil(expected + Math.sqrt(expected));
+}
+
 export function poolCountOf(nodeCount: number): number {
     return Math.max(1, Math.floor(nodeCount / NODES_PER_POOL));
 }
