--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -23,6 +23,7 @@
 import { PauseDetector } from "./pauseDetector.ts";
 import { Peers } from "./peers.ts";
 import { PeerServer } from "./peerServer.ts";
+import { QUOTA_REPORT_METHOD, Quotas } from "./quotas.ts";
 import { RecordPublisher } from "./recordPublisher.ts";
 import { Runner } from "./runner.ts";
 import { isSameTarget } from "./targetRecords.ts";
@@ -35,6 +36,7 @@
     readonly counters = new Counters();
     readonly latencies = new LatencySamples();
     readonly runner: Runner;
+    readonly quotas: Quotas;
     private readonly crashGuard: CrashGuard;
     private readonly forwarder: Forwarder;
     private readonly clientServer: HttpServer;
@@ -80,7 +82,10 @@
             healthPathOf: service => this.config?.services.get(service)?.healthPath,
             checkHealth: (path, onChecked) => this.runner.checkHealth(path, onChecked),
             onRecorded: previous => this.applyTargetRecord(previous),
-            onSettled: hasEarlierProcess => this.retryBudget.grantSlack(steadyNow(), hasEarlierProcess),
+            onSettled: hasEarlierProcess => {
+                this.retryBudget.grantSlack(steadyNow(), hasEarlierProcess);
+                this.quotas.onNodesKnown();
+            },
         });
         this.gracefulStop = new GracefulStop({
             graceMs: options.graceMs,
@@ -117,10 +122,28 @@
             onCrashReport: params => this.crashGuard.onReport(params),
             crashState: () => this.crashGuard.stateReport(),
             targetHistory: this.localTarget.history,
-            onNodeCountChange: nodes => this.retryBudget.setNodeCount(nodes),
+            onNodeCountChange: nodes => {
+                this.retryBudget.setNodeCount(nodes);
+                this.quotas.onNodesChanged();
+            },
             storeEra: () => this.storeEra,
             onReportedEra: era => options.store.onReportedEra(era),
         });
+        this.quotas = new Quotas({
+            name: options.name,
+            process: options.startedAt,
+            bounds: options.quotaBounds,
+            log: options.log,
+            counters: this.counters,
+            directory: this.peers.directory,
+            accounts: () => this.config?.accounts?.all(),
+            configVersion: () => this.configVersion,
+            request: (node, method, params) => this.peers.request(node, method, params),
+        });
+        this.peers.rpcServer.addMethod(
+            QUOTA_REPORT_METHOD,
+            (params: unknown) => this.quotas.onReport(params),
+        );
         this.forwarder = new Forwarder({
             ownService: () => this.service,
             accountNameField: options.protocol.names.accountName,
@@ -136,6 +159,7 @@
             isRefusingClients: expectedMs => this.gracefulStop.isRefusingClients(expectedMs),
             dependencies: this.routeDependencies,
             routeCalls: this.routeCalls,
+            quotas: this.quotas,
             onNewDependency: dependency => this.peers.broadcastDependencies([dependency]),
             onConfigVersion: (node, version) => this.peers.onPeerConfigVersion(node, version),
         });
@@ -258,6 +282,7 @@
         this.options.store.stop();
         this.localTarget.history.close();
         this.runner.close();
+        this.quotas.close();
         this.peers.close();
         this.peerServer.close();
     }
@@ -340,6 +365,7 @@
         if (this.config !== undefined && config.version <= this.config.version) return;
         this.config = config;
         this.forwarder.onNewConfig();
+        this.quotas.onConfig();
         if (from === "store") this.peerServer.broadcastConfigVersion(config.version);
         this.localTarget.history.onConfig();
         this.options.log.unlimitedEvent("config", {
