--- a/test/platform/quotas.test.ts
+++ b/test/platform/quotas.test.ts
@@ -75,18 +75,17 @@
         await waitForDelegations(mesh.hosts, 0.99);
         const { quotas } = mesh.hosts.find(host => delegatedShareOf(host) >= 0.99)!.node.meshNode;
         const before = quotas.poolStatuses();
-        const valid = ["n1", [1, 1], 1, 4, 1, 0, null, false, []];
-        for (
-            const [index, value] of [[0, "unknown"], [3, 1e999], [4, 2], [5, 1], [7, 1], [8, [[
-                0,
-                -1,
-                0,
-                0,
-                0,
-            ]]]]
-        ) {
-            const report = valid.with(index as number, value as string);
-            expect(quotas.onReport(report), `field ${index}`).to.equal(null);
+        const valid: readonly unknown[] = ["n1", [1, 1], 1, 4, 1, 0, null, false, []];
+        const invalidFields: readonly (readonly [number, unknown])[] = [
+            [0, "unknown"],
+            [3, Infinity],
+            [4, 2],
+            [5, 1],
+            [7, 1],
+            [8, [[0, -1, 0, 0, 0]]],
+        ];
+        for (const [index, value] of invalidFields) {
+            expect(quotas.onReport(valid.with(index, value)), `field ${index}`).to.equal(null);
         }
         expect(quotas.onReport(undefined)).to.equal(null);
         expect(quotas.poolStatuses()[0]!.delegatedShare).to.equal(before[0]!.delegatedShare);
