--- a/test/platform/quotas.test.ts
+++ b/test/platform/quotas.test.ts
@@ -1,7 +1,7 @@
 /** Quotas of client accounts with real nodes and connections: the loss of a pool node, and messages from elsewhere. */
 import { expect } from "chai";
 import type { ClientAccount } from "../../src/mesh/types.ts";
-import { PlatformMesh, waitFor } from "../support/platformMesh.ts";
+import { PlatformMesh, waitFor, wireAccount, wireConfig } from "../support/platformMesh.ts";
 import type { MeshHost } from "../support/platformMesh.ts";
 
 const ACCOUNT: ClientAccount = { name: "acme", priority: 0, ratePerS: 40, burst: 20 };
@@ -18,10 +18,9 @@
     afterEach(() => mesh.stop());
 
     function limitAccounts(): void {
-        for (const { node: { meshNode } } of mesh.hosts) {
-            meshNode["clientAccounts"] = () => [ACCOUNT];
-            meshNode.quotas.onConfig();
-        }
+        const { name, ratePerS, burst } = ACCOUNT;
+        const account = wireAccount(name, { rate_per_s: ratePerS, burst });
+        mesh.store.putConfig({ ...wireConfig(2), tenants: [account] });
     }
 
     const poolNodeOf = ({ node }: MeshHost) => node.meshNode.quotas.poolStatuses()[0]?.poolNode;
@@ -75,18 +74,17 @@
         await waitForDelegations(mesh.hosts, 0.99);
         const { quotas } = mesh.hosts.find(host => delegatedShareOf(host) >= 0.99)!.node.meshNode;
         const before = quotas.poolStatuses();
-        const valid = ["n1", [1, 1], 1, 4, 1, 0, null, false, []];
-        for (
-            const [index, value] of [[0, "unknown"], [3, 1e999], [4, 2], [5, 1], [7, 1], [8, [[
-                0,
-                -1,
-                0,
-                0,
-                0,
-            ]]]]
-        ) {
-            const report = valid.with(index as number, value as string);
-            expect(quotas.onReport(report), `field ${index}`).to.equal(null);
+        const valid: readonly unknown[] = ["n1", [1, 1], 1, 4, 1, 0, null, false, []];
+        const invalidFields: readonly (readonly [number, unknown])[] = [
+            [0, "unknown"],
+            [3, Infinity],
+            [4, 2],
+            [5, 1],
+            [7, 1],
+            [8, [[0, -1, 0, 0, 0]]],
+        ];
+        for (const [index, value] of invalidFields) {
+            expect(quotas.onReport(valid.with(index, value)), `field ${index}`).to.equal(null);
         }
         expect(quotas.onReport(undefined)).to.equal(null);
         expect(quotas.poolStatuses()[0]!.delegatedShare).to.equal(before[0]!.delegatedShare);
