Share the capacity of a priority among accounts by what they are owed

Cause: under overload every account's requests are admitted at the same share, so an account that sends too much or whose clients retry at once displaces the others. Change: for client requests of configurations with accounts, the level within the priority is the rank of hash x load of the account.

--- a/src/mesh/call.ts
+++ b/src/mesh/call.ts
@@ -18,8 +18,10 @@
     readonly isCallerUnknown: boolean;
     /** Whether every step of this request is logged. */
     readonly isTraced: boolean;
+    /** Whether the level also depends on what the account is owed, which is decided once the quota admits the call. */
+    readonly sharesPriority: boolean;
     /** Admission level; lower levels are more important. */
-    readonly level: number;
+    level: number;
     /** Arrival of the request in ms, as `steadyNow()` time. `deadlineAt` uses the same clock. */
     readonly startedAt: number;
     readonly deadlineAt: number;
@@ -55,6 +57,7 @@
     | "parent"
     | "account"
     | "isCallerUnknown"
+    | "sharesPriority"
     | "isTraced"
     | "level"
     | "startedAt"
@@ -71,6 +74,7 @@
         parent: fields.parent,
         account: fields.account,
         isCallerUnknown: fields.isCallerUnknown,
+        sharesPriority: fields.sharesPriority,
         isTraced: fields.isTraced,
         level: fields.level,
         startedAt: fields.startedAt,
--- a/src/mesh/callFactory.ts
+++ b/src/mesh/callFactory.ts
@@ -1,8 +1,9 @@
 /** Creates the state of a call: identifies its caller and sets its service, its admission level and its deadline. */
 import type { RequestHead } from "../http/messageHead.ts";
+import { AccountFairness } from "../policy/accountFairness.ts";
 import { identifyCaller } from "../policy/accounts.ts";
 import type { AccountDirectory } from "../policy/accounts.ts";
-import { levelOf } from "../policy/admissionLevel.ts";
+import { levelOf, LEVELS_PER_PRIORITY } from "../policy/admissionLevel.ts";
 import { TrafficSplitter } from "../policy/routeTable.ts";
 import { createCall } from "./call.ts";
 import type { Call } from "./call.ts";
@@ -36,6 +37,7 @@
 
 export class CallFactory {
     private readonly trafficSplitter = new TrafficSplitter();
+    private readonly fairness = new AccountFairness();
 
     constructor(private readonly options: CallFactoryOptions) {}
 
@@ -63,6 +65,7 @@
             parent,
             account,
             isCallerUnknown,
+            sharesPriority: accounts !== undefined && parent === undefined && !isCallerUnknown,
             isTraced: this.options.log.isTraced(requestId),
             level: parent?.level
                 ?? levelOf(accounts?.priorityOf(account, route.priority) ?? route.priority, requestId),
@@ -72,6 +75,12 @@
         });
     }
 
+    /** Level of a client call of a configuration with accounts, among the calls of its priority. Call once. */
+    fairLevelOf({ level, account, req }: Call, now: number): number {
+        const priority = Math.floor(level / LEVELS_PER_PRIORITY);
+        return this.fairness.levelOf({ priority, account, requestId: req.head.requestId }, now);
+    }
+
     /** Returns `undefined` if the request is unauthorized. Without accounts, every caller is accepted. */
     private identify(
         { requestId, accountKey: key }: RequestHead,
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -153,6 +153,7 @@
     /** Refuses the call or starts its first attempt. Returns whether the call is still in progress. */
     private admit(call: Call): boolean {
         const now = steadyNow();
+        if (call.sharesPriority) call.level = this.callFactory.fairLevelOf(call, now);
         const refusal = this.admission.check(call, now);
         if (refusal !== undefined) {
             this.refuse(call, refusal.reason, refusal.cutoff);
--- a/test/support/meshFixtures.ts
+++ b/test/support/meshFixtures.ts
@@ -86,6 +86,7 @@
         parent: undefined,
         account,
         isCallerUnknown: false,
+        sharesPriority: false,
         isTraced,
         level: 130,
         startedAt: 0,
