Explain 401 responses, and bound the work of ranking priorities

Cause: explain did not know the log line of a 401; 1,000 distinct account priorities would have been merged pair by pair.

--- a/src/policy/priorityClasses.ts
+++ b/src/policy/priorityClasses.ts
@@ -21,12 +21,14 @@
     constructor(accountPriorities: readonly number[], routePriorities: readonly number[]) {
         const routes = sortedDistinct(routePriorities);
         const accounts = sortedDistinct(accountPriorities);
+        // With so many account priorities, the pairs of each would be merged first anyway.
+        const pairsPerClass = accounts.length >= PRIORITY_COUNT ? routes.length : 1;
         const classes = mergeClasses(
             accounts.flatMap(account =>
-                routes.map((): PriorityClass => ({
+                Array.from({ length: routes.length / pairsPerClass }, (): PriorityClass => ({
                     firstAccountPriority: account,
                     lastAccountPriority: account,
-                    pairCount: 1,
+                    pairCount: pairsPerClass,
                 }))
             ),
         );
--- a/src/requestTrace.ts
+++ b/src/requestTrace.ts
@@ -88,7 +88,7 @@
     return (line.id ?? "").slice(id.length).split(".").length - 1;
 }
 
-const FINAL_EVENTS: readonly string[] = ["refused", "failed", "answered", "cancelled"];
+const FINAL_EVENTS: readonly string[] = ["refused", "unauthorized", "failed", "answered", "cancelled"];
 
 function isFinal(line: LogLine): boolean {
     return FINAL_EVENTS.includes(line.event);
@@ -103,6 +103,8 @@
     switch (event) {
         case "refused":
             return `refused by ${node} ${duration}, not run: ${describeRefusal(finalLine)}`;
+        case "unauthorized":
+            return `refused by ${node} with status 401, not run: no valid key`;
         case "failed":
             return `failed at ${node} ${duration} with ${
                 formatField(finalLine, "sends")
--- a/test/platform/accounts.test.ts
+++ b/test/platform/accounts.test.ts
@@ -1,6 +1,8 @@
 /** Client accounts over the path with real nodes: what targets and callers see, and that no key leaves the entry node. */
 import { expect } from "chai";
 import http from "node:http";
+import { MetricsPage } from "../../src/mesh/metricsPage.ts";
+import { safeParseLogLine, traceRequest } from "../../src/requestTrace.ts";
 import { PlatformMesh, waitFor, wireAccount, wireConfig, wireRoute } from "../support/platformMesh.ts";
 
 const PATHS = [
@@ -94,13 +96,20 @@
         expect(status).to.equal(503);
     });
 
-    it("logs no key", async () => {
+    it("logs and counts refusals with the account, but without its key", async () => {
         await start();
         await statusOf("/safe/", "q1", { "Api-Key": "key-of-nobody" });
         mesh.hosts[1]!.app.mode = "shed";
         expect(await statusOf("/safe/", "q2", { "Api-Key": "key-of-acme" })).to.equal(503);
-        const lines = mesh.hosts.flatMap(({ log }) => log).join("");
-        expect(lines).to.contain("\"account\":\"acme\"");
-        expect(lines).not.to.contain("key-of");
+        const lines = mesh.hosts.flatMap(({ log }) => log);
+        expect(lines.join("")).to.contain("\"account\":\"acme\"");
+        const metrics = await new MetricsPage(mesh.hosts[0]!.node.meshNode).render();
+        expect(metrics).to.contain(
+            "filbertspool_account_refusals_total{account=\"acme\",reason=\"target-shed\"} 1",
+        );
+        expect(metrics).to.contain("filbertspool_unauthorized_total 1");
+        expect(lines.join("") + metrics).not.to.contain("key-of");
+        const { outcome } = traceRequest("q1", lines.flatMap(line => safeParseLogLine(line) ?? []));
+        expect(outcome).to.equal("refused by edge with status 401, not run: no valid key");
     });
 });
