Tell refused callers 500 ms while a pool has no share, and test the bounds in the settings

Cause: a restart of all nodes told them 5 s, although the shares come back within 1.5 s. Change: a constant for this case; the settings test has one of the new bounds.

--- a/src/policy/quotaPool.ts
+++ b/src/policy/quotaPool.ts
@@ -25,6 +25,8 @@
 const MIN_ASK_AGAIN_MS = 50;
 const MAX_ASK_AGAIN_MS = 250;
 const MAX_RETRY_AFTER_MS = 5000;
+/** Without a share, e.g. after a restart of all nodes, the time is unknown; the shares come back within 1.5 s. */
+const NO_SHARE_RETRY_AFTER_MS = 500;
 
 interface Delegation {
     readonly share: number;
@@ -202,7 +204,7 @@
     /** Gives each refused request a time of its own, at the rate of the pool. */
     private retryAfterMs(bucket: Bucket, refused: number, now: number): number {
         const tokensPerMs = bucket.limit.tokensPerMs * this.delegatedShare;
-        if (tokensPerMs === 0) return MAX_RETRY_AFTER_MS;
+        if (tokensPerMs === 0) return NO_SHARE_RETRY_AFTER_MS;
         const firstAt = now + Math.max(0, 1 - bucket.level) / tokensPerMs;
         const until = Math.max(bucket.promisedUntil, firstAt) + (refused - 1) / tokensPerMs;
         bucket.promisedUntil = Math.min(now + MAX_RETRY_AFTER_MS, until + 1 / tokensPerMs);
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -15,7 +15,7 @@
 ip = "10.1.0.8"
 zone = "a"
 internal_port_range = [7620,7635]
-bounds = ["grace=6s","retry_budget_ratio=0.2","budget_window=10s","budget_slack=48"]
+bounds = ["grace=6s","retry_budget_ratio=0.2","budget_window=10s","budget_slack=48","quota_overage=0.1"]
 app_addr = "10.1.0.8:8301"
 service = "shop"
 unknown_field = { later = true }
@@ -51,6 +51,7 @@
             retryRatio: 0.2,
             retrySlack: 48,
             retryWindowMs: 10_000,
+            quotaBounds: { windowMs: 5000, overage: 0.1, slack: 0 },
         });
     });
 
