Bound what a node holds for its clients, so that none ends it

Cause: bodies were buffered up to max_body_bytes each without a bound on their sum, and copied two more times on the way; responses that clients did not read were not bounded either, nor the number of connections. Change: one budget of bytes for each node, derived from limits.memory_mb (src/policy/memoryBudget.ts). Large bodies are not read on while it is used up; then stalled ones get 503 with Retry-After (they have not run), unread responses are disconnected, and a node beside a target refuses requests with the reason memory. Holders of up to 64 KiB have a part of their own. Connections are bounded by limits.max_fds. Large bodies stay in the pieces in which they arrived. The tests that joined encoded frames now flatten them first.

--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -1,6 +1,10 @@
 /** HTTP/1.1 server for requests from clients and the local target, and for the control servers of a platform. */
 import net from "node:net";
+import type { MemoryBudget } from "../policy/memoryBudget.ts";
+import type { Body } from "./body.ts";
 import { ClientConnection } from "./clientConnection.ts";
+import { ConnectionGuard } from "./connectionGuard.ts";
+import type { ReleaseEvent } from "./connectionGuard.ts";
 import type { RequestHead } from "./messageHead.ts";
 import type { HttpMessage } from "./messageReader.ts";
 
@@ -8,7 +12,7 @@
     readonly status: number;
     /** Header lines, each with its CRLF, without `Content-Length`. */
     readonly headers: string;
-    readonly body: Buffer;
+    readonly body: Body;
 }
 
 export type SendResponse = (response: HttpResponse) => void;
@@ -47,6 +51,12 @@
     readonly isPipelinable?: (head: RequestHead) => boolean;
     /** Time in ms for which bytes that are read now may have waited, because the process was paused; 0 by default. */
     readonly pauseMs?: () => number;
+    /** Bounds what all connections hold; without it, only the bounds of each connection apply. */
+    readonly memory?: MemoryBudget;
+    /** Returns the number of connections up to which none is closed. Used together with `memory`. */
+    readonly maxConnections?: () => number;
+    /** Called when a request is refused or a connection closed because of `memory` or `maxConnections`. */
+    readonly onReleased?: (event: ReleaseEvent) => void;
     /** Called with an unexpected error of the handler; the request gets a 500 response. */
     readonly onHandlerError?: (err: unknown) => void;
 }
@@ -54,8 +64,16 @@
 export class HttpServer {
     private readonly server: net.Server;
     private readonly connections = new Set<ClientConnection>();
+    private readonly guard: ConnectionGuard | undefined;
 
     constructor(private readonly options: HttpServerOptions) {
+        const { memory, maxConnections, onReleased } = options;
+        this.guard = memory === undefined ? undefined : new ConnectionGuard({
+            budget: memory,
+            connections: this.connections,
+            maxConnections: maxConnections ?? (() => Infinity),
+            onReleased,
+        });
         this.server = net.createServer(socket => this.accept(socket));
     }
 
@@ -73,6 +91,11 @@
         for (const conn of this.connections) conn.checkTimeouts(now, limits);
     }
 
+    /** Refuses or closes connections that hold memory without progress while others wait for it. Call every 100 ms. */
+    relieveMemory(now: number): void {
+        this.guard?.tick(now);
+    }
+
     /** Number of connections on which an accepted request or part of a response is pending. */
     get pendingCount(): number {
         let count = 0;
@@ -87,7 +110,11 @@
     }
 
     private accept(socket: net.Socket): void {
-        const conn = new ClientConnection(socket, this.options);
+        if (this.guard?.admitConnection() === false) {
+            socket.destroy();
+            return;
+        }
+        const conn = new ClientConnection(socket, this.options, this.guard);
         this.connections.add(conn);
         socket.once("close", () => this.connections.delete(conn));
     }
--- a/src/http/messageReader.ts
+++ b/src/http/messageReader.ts
@@ -5,6 +5,9 @@
  * completely, so that only complete responses are forwarded and a request can be retried.
  */
 
+import { createBody } from "./body.ts";
+import type { Body } from "./body.ts";
+
 /** How the end of a message body is determined; "until-close" is the end of the connection. */
 export type BodyFraming =
     | { readonly kind: "length"; readonly bytes: number; }
@@ -25,7 +28,7 @@
 
 export interface HttpMessage<H> {
     readonly head: H;
-    readonly body: Buffer;
+    readonly body: Body;
 }
 
 export interface ReaderLimits {
@@ -44,7 +47,7 @@
  * a small piece would keep its whole receive buffer in memory.
  */
 const MAX_COALESCED_PIECE_BYTES = 1024;
-/** Coalescing starts after this number of pieces; few pieces are copied only once, into the complete body. */
+/** Coalescing starts after this number of pieces; few pieces are copied only once, if at all. */
 const COALESCE_AFTER_PIECES = 16;
 const COALESCING_BUFFER_BYTES = 16 * 1024;
 const CHUNK_SIZE = /^[0-9a-fA-F]{1,8}$/;
@@ -108,6 +111,14 @@
         return this.stage === "until-close" ? this.completeMessage() : undefined;
     }
 
+    /** Releases all bytes. No further message can be read. */
+    discard(): void {
+        this.buffer = EMPTY_BUFFER;
+        this.bodyPieces = [];
+        this.bodyBytes = 0;
+        this.coalescingBuffer = undefined;
+    }
+
     /** Parses the next part of the message; returns false if more bytes are needed. The last part sets stage "head". */
     private advance(): boolean {
         switch (this.stage) {
@@ -262,13 +273,7 @@
 
     private completeMessage(): HttpMessage<H> {
         this.trimCoalescingBuffer();
-        const { bodyPieces: pieces } = this;
-        const body = pieces.length === 0
-            ? EMPTY_BUFFER
-            : pieces.length === 1
-            ? pieces[0]!
-            : Buffer.concat(pieces);
-        const message = { head: this.head!, body };
+        const message = { head: this.head!, body: createBody(this.bodyPieces, this.bodyBytes) };
         this.head = undefined;
         this.bodyPieces = [];
         this.bodyBytes = 0;
--- a/src/mesh/call.ts
+++ b/src/mesh/call.ts
@@ -71,7 +71,7 @@
  * Whether the load balancer should avoid a target for a while after an outcome: the connection was lost, or the request
  * was not executed for a reason that concerns more than this request, e.g. the target is down, draining or of another
  * service. A target that refuses for a reason in `NO_AVOIDANCE_REASONS`, responds too late or responds unusably is not
- * avoided. `memory` is not among these reasons, although `isOverloadReason` holds for it; no node refuses with it.
+ * avoided.
  */
 export function shouldAvoidTarget(outcome: Outcome): boolean {
     switch (outcome.kind) {
@@ -84,8 +84,17 @@
     }
 }
 
-/** Refusals because of load or a short deadline; the target may be able to run other requests. */
-const NO_AVOIDANCE_REASONS: readonly string[] = ["overload", "queue-timeout", "deadline", "target-shed"];
+/**
+ * Refusals because of load, a short deadline or a body for which there is no memory; the target may be able to run other
+ * requests.
+ */
+const NO_AVOIDANCE_REASONS: readonly string[] = [
+    "overload",
+    "queue-timeout",
+    "deadline",
+    "target-shed",
+    "memory",
+];
 
 const MAX_TARGET_WAIT_MS = 250;
 const TARGET_WAIT_SHARE_OF_OBJECTIVE = 0.25;
--- a/src/mesh/crashGuard.ts
+++ b/src/mesh/crashGuard.ts
@@ -5,6 +5,7 @@
  */
 import { createHash } from "node:crypto";
 import * as v from "valibot";
+import { piecesOf } from "../http/body.ts";
 import { CrashSuspects } from "../policy/crashSuspects.ts";
 import { steadyNow } from "./clock.ts";
 import type { EventLog } from "./eventLog.ts";
@@ -122,8 +123,9 @@
 }
 
 function fingerprintOf({ service, callerService, method, path, body }: RequestContent): string {
-    return createHash("sha256").update(`${service}\n${callerService}\n${method}\n${path}\n`).update(body)
-        .digest().subarray(0, FINGERPRINT_BYTES).toString("base64url");
+    const hash = createHash("sha256").update(`${service}\n${callerService}\n${method}\n${path}\n`);
+    for (const piece of piecesOf(body)) hash.update(piece);
+    return hash.digest().subarray(0, FINGERPRINT_BYTES).toString("base64url");
 }
 
 function toMutable<T extends { readonly crashes: readonly string[]; }>(state: T) {
--- a/src/mesh/dispatcher.ts
+++ b/src/mesh/dispatcher.ts
@@ -3,6 +3,8 @@
  * node, and records the load that the node reports with the outcome.
  */
 import { chooseTarget } from "../policy/loadBalancer.ts";
+import { MAX_SMALL_BYTES } from "../policy/memoryBudget.ts";
+import type { MemoryBudget } from "../policy/memoryBudget.ts";
 import { shouldAvoidTarget } from "./call.ts";
 import type { Call } from "./call.ts";
 import type { CallLog } from "./callLog.ts";
@@ -22,6 +24,8 @@
     readonly sendToNode: (node: KnownNode, req: ForwardedRequest, listener: OutcomeListener) => () => void;
     readonly onConfigVersion: (node: KnownNode, version: number) => void;
     readonly rand: () => number;
+    /** Counts large bodies of local runs that go on after their caller has left. */
+    readonly memory?: MemoryBudget | undefined;
 }
 
 export interface AttemptListener {
@@ -97,13 +101,23 @@
     }
 
     private runLocally(call: Call, now: number, listener: OutcomeListener): () => void {
-        const { runner } = this.options;
+        const { runner, memory } = this.options;
+        const bodyBytes = call.req.body.length;
+        let isCounted = false;
         const run = runner.submit(this.toForwardedRequest(call, now), {
-            // A configuration version of 0 is never newer, so this node does not fetch a configuration from itself.
-            onDone: outcome => listener.onOutcome(outcome, runner.loadReport(0)),
+            onDone: outcome => {
+                if (isCounted) memory?.resize(bodyBytes, 0);
+                // A configuration version of 0 is never newer, so this node does not fetch a configuration from itself.
+                listener.onOutcome(outcome, runner.loadReport(0));
+            },
             onSilent: () => listener.onSilent(),
         });
-        return () => runner.cancel(run);
+        return () => {
+            runner.cancel(run);
+            if (run.isDone || bodyBytes <= MAX_SMALL_BYTES) return;
+            isCounted = true;
+            memory?.resize(0, bodyBytes);
+        };
     }
 
     private toForwardedRequest(call: Call, now: number): ForwardedRequest {
--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -33,7 +33,7 @@
 export interface ForwarderOptions extends
     Pick<
         DispatcherOptions,
-        "ownService" | "directory" | "runner" | "sendToNode" | "onConfigVersion"
+        "ownService" | "directory" | "runner" | "sendToNode" | "onConfigVersion" | "memory"
     >,
     CallAdmissionOptions
 {
--- a/src/mesh/frameSocket.ts
+++ b/src/mesh/frameSocket.ts
@@ -5,9 +5,11 @@
 import { JSONRPCClient, JSONRPCServerAndClient } from "json-rpc-2.0";
 import type { JSONRPCServer } from "json-rpc-2.0";
 import type net from "node:net";
+import type { MemoryBudget } from "../policy/memoryBudget.ts";
 import { steadyNow } from "./clock.ts";
-import { encodePong, encodeRpc, encodeSignal, FrameError, FrameReader } from "./frames.ts";
-import type { Frame } from "./frames.ts";
+import { FrameReader } from "./frameReader.ts";
+import { encodePong, encodeRpc, encodeSignal, FrameError } from "./frames.ts";
+import type { EncodedFrame, Frame } from "./frames.ts";
 
 /** Frames about requests and admission. The socket itself handles pings, pongs and JSON-RPC messages. */
 export type DataPlaneFrame = Exclude<Frame, { type: "ping" | "pong" | "rpc"; }>;
@@ -17,6 +19,8 @@
     readonly rpcServer: JSONRPCServer;
     readonly onFrame: (frame: DataPlaneFrame) => void;
     readonly onClose: () => void;
+    /** Bounds the bytes of large frames. */
+    readonly memory?: MemoryBudget | undefined;
     /** Returns this node's configuration version, which is sent in response to pings. */
     readonly configVersion: () => number;
     /** Called with what was wrong before the connection is closed because of malformed bytes or an unexpected error. */
@@ -28,12 +32,19 @@
 /** Time without received data after a ping until the connection is closed. */
 const KEEPALIVE_TIMEOUT_MS = 700;
 const RPC_TIMEOUT_MS = 2000;
+/** Up to this size, joining the frames costs less than writing them one by one. */
+const MAX_JOINED_WRITE_BYTES = 64 * 1024;
 
 export class FrameSocket {
     readonly rpc: JSONRPCServerAndClient;
     private readonly socket: net.Socket;
-    private readonly reader = new FrameReader();
+    private readonly reader: FrameReader;
     private outgoing: Buffer[] = [];
+    private outgoingBytes = 0;
+    /** Listeners of the frames in `outgoing`. */
+    private sentListeners: (() => void)[] = [];
+    /** All listeners that have not been called. */
+    private readonly pendingListeners = new Set<() => void>();
     private isFlushScheduled = false;
     private lastReadAt = steadyNow();
     private pingSentAt: number | undefined;
@@ -42,6 +53,7 @@
     constructor(private readonly options: FrameSocketOptions) {
         const { socket } = options;
         this.socket = socket;
+        this.reader = new FrameReader(options.memory);
         const client = new JSONRPCClient(message => this.write(encodeRpc(JSON.stringify(message))));
         this.rpc = new JSONRPCServerAndClient(options.rpcServer, client);
         socket.setNoDelay(true);
@@ -58,9 +70,18 @@
         return this.rpc.timeout(RPC_TIMEOUT_MS).request(method, params);
     }
 
-    write(frame: Buffer): void {
-        if (this.isClosed) return;
-        this.outgoing.push(frame);
+    /** `onSent` is called once, when the frame has been passed to the operating system or the connection has closed. */
+    write(frame: EncodedFrame, onSent?: () => void): void {
+        if (this.isClosed) {
+            onSent?.();
+            return;
+        }
+        if (Buffer.isBuffer(frame)) this.push(frame);
+        else for (const buffer of frame) this.push(buffer);
+        if (onSent !== undefined) {
+            this.sentListeners.push(onSent);
+            this.pendingListeners.add(onSent);
+        }
         if (this.isFlushScheduled) return;
         this.isFlushScheduled = true;
         setImmediate(() => this.flush());
@@ -97,10 +118,33 @@
 
     private flush(): void {
         this.isFlushScheduled = false;
-        if (this.isClosed) return;
-        const { outgoing: out } = this;
+        const { outgoing: out, outgoingBytes, sentListeners } = this;
         this.outgoing = [];
-        this.socket.write(out.length === 1 ? out[0]! : Buffer.concat(out));
+        this.outgoingBytes = 0;
+        if (sentListeners.length > 0) this.sentListeners = [];
+        if (this.isClosed) return;
+        const onSent = sentListeners.length === 0 ? undefined : () => this.callListeners(sentListeners);
+        if (out.length === 1) this.socket.write(out[0]!, onSent);
+        else if (outgoingBytes <= MAX_JOINED_WRITE_BYTES) this.socket.write(Buffer.concat(out), onSent);
+        else this.writeSeparately(out, onSent);
+    }
+
+    /** Sends many bytes in one system call without copying them. */
+    private writeSeparately(buffers: readonly Buffer[], onSent: (() => void) | undefined): void {
+        this.socket.cork();
+        const last = buffers.length - 1;
+        for (let index = 0; index < last; index++) this.socket.write(buffers[index]!);
+        this.socket.write(buffers[last]!, onSent);
+        this.socket.uncork();
+    }
+
+    private callListeners(listeners: Iterable<() => void>): void {
+        for (const listener of listeners) if (this.pendingListeners.delete(listener)) listener();
+    }
+
+    private push(buffer: Buffer): void {
+        this.outgoing.push(buffer);
+        this.outgoingBytes += buffer.length;
     }
 
     private onData(chunk: Buffer): void {
@@ -132,6 +176,7 @@
                 return;
             case "request":
             case "response":
+            case "dropped":
             case "cancel":
             case "cutoff":
             case "silent":
@@ -153,6 +198,8 @@
     private onClose(): void {
         if (this.isClosed) return;
         this.isClosed = true;
+        this.reader.close();
+        this.callListeners([...this.pendingListeners]);
         this.rpc.rejectAllPendingRequests("connection closed");
         this.options.onClose();
     }
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -5,6 +5,8 @@
  * value in place of the stream number. Strings are latin1 with a length prefix (4 bytes); the strings of a request
  * are joined into one by line feeds. Control messages are JSON-RPC 2.0 in UTF-8.
  */
+import { MAX_JOINED_BODY_BYTES, piecesOf } from "../http/body.ts";
+import type { Body } from "../http/body.ts";
 import type { FailureReason, ForwardedRequest, LoadReport, Outcome, RefusalReason } from "./types.ts";
 
 export type Frame =
@@ -15,6 +17,8 @@
         readonly outcome: Outcome;
         readonly load: LoadReport;
     }
+    /** A request or response that was not kept, since there is no memory for it. This is never sent. */
+    | { readonly type: "dropped"; readonly stream: number; readonly dropped: "request" | "response"; }
     | { readonly type: "cancel"; readonly stream: number; }
     /** The admission cutoff of the sender's target has changed. Belongs to no request: `stream` is the new cutoff. */
     | { readonly type: "cutoff"; readonly stream: number; }
@@ -33,35 +37,35 @@
     }
 }
 
-const REQUEST = 1;
-const RESPONSE = 2;
-const CANCEL = 3;
-const PING = 4;
-const PONG = 5;
-const RPC = 6;
-const CUTOFF = 7;
-const SILENT = 8;
+export const REQUEST = 1;
+export const RESPONSE = 2;
+export const CANCEL = 3;
+export const PING = 4;
+export const PONG = 5;
+export const RPC = 6;
+export const CUTOFF = 7;
+export const SILENT = 8;
 
 /** Types of the frames that consist of the header only. */
 const SIGNALS = { cancel: CANCEL, ping: PING, cutoff: CUTOFF, silent: SILENT } as const;
 
-const OUTCOME_RESPONSE = 0;
-const OUTCOME_NOT_RUN = 1;
-const OUTCOME_UNKNOWN = 2;
+export const OUTCOME_RESPONSE = 0;
+export const OUTCOME_NOT_RUN = 1;
+export const OUTCOME_UNKNOWN = 2;
 
-const IDEMPOTENT_FLAG = 1;
-const NESTED_FLAG = 2;
+export const IDEMPOTENT_FLAG = 1;
+export const NESTED_FLAG = 2;
 
-const LENGTH_BYTES = 4;
-const HEADER_BYTES = 9;
+export const LENGTH_BYTES = 4;
+export const HEADER_BYTES = 9;
 /**
  * Maximum value of the length field; the receiver of a longer frame closes the connection. Enough for a body of the
  * default maximum size, 64 MB, and its head, but a configuration may allow larger bodies.
  */
-const MAX_FRAME_BYTES = 80 * 1024 * 1024;
+export const MAX_FRAME_BYTES = 80 * 1024 * 1024;
 
 /** A reason's index is its code on the wire. */
-const REFUSAL_REASONS: readonly RefusalReason[] = [
+export const REFUSAL_REASONS: readonly RefusalReason[] = [
     "no-config",
     "no-target",
     "draining",
@@ -81,7 +85,7 @@
     "quota",
 ];
 /** A reason's index is its code on the wire. */
-const FAILURE_REASONS: readonly FailureReason[] = [
+export const FAILURE_REASONS: readonly FailureReason[] = [
     "link-lost",
     "connection-lost",
     "bad-answer",
@@ -90,23 +94,35 @@
     "stopping",
 ];
 
+/** Bytes of a frame: one buffer or, with a large body, several that are written one after the other. */
+export type EncodedFrame = Buffer | readonly Buffer[];
+
 /** The strings are joined and written at once, since each write into a buffer costs as much as writing 100 bytes. */
-export function encodeRequest(stream: number, req: ForwardedRequest): Buffer {
+export function encodeRequest(stream: number, req: ForwardedRequest): EncodedFrame {
     const text =
         `${req.requestId}\n${req.service}\n${req.route}\n${req.callerService}\n${req.method}\n${req.path}\n${req.headers}`;
-    const buf = Buffer.allocUnsafe(HEADER_BYTES + 17 + text.length + req.body.length);
+    const { body } = req;
+    const isJoined = Buffer.isBuffer(body) && body.length <= MAX_JOINED_BODY_BYTES;
+    const buf = Buffer.allocUnsafe(HEADER_BYTES + 17 + text.length + (isJoined ? body.length : 0));
     let offset = writeHeader(buf, REQUEST, stream);
     buf[offset] = (req.isIdempotent ? IDEMPOTENT_FLAG : 0) | (req.isNested ? NESTED_FLAG : 0);
     offset = buf.writeUInt32BE(req.level, offset + 1);
     offset = buf.writeUInt32BE(clampToUint32(req.leftMs), offset);
     offset = buf.writeUInt32BE(clampToUint32(req.maxQueueMs), offset);
     offset = writeText(buf, offset, text);
-    if (req.body.length > 0) req.body.copy(buf, offset);
-    return finishFrame(buf, offset + req.body.length);
-}
-
-export function encodeResponse(stream: number, outcome: Outcome, load: LoadReport): Buffer {
-    const outcomeBytes = outcome.kind === "answer" ? 6 + outcome.headers.length + outcome.body.length : 1;
+    if (!isJoined) return finishSeparate(buf, offset, body);
+    if (body.length > 0) body.copy(buf, offset);
+    return finishFrame(buf, offset + body.length);
+}
+
+export function encodeResponse(stream: number, outcome: Outcome, load: LoadReport): EncodedFrame {
+    const joinedBody = outcome.kind === "answer" && Buffer.isBuffer(outcome.body)
+            && outcome.body.length <= MAX_JOINED_BODY_BYTES
+        ? outcome.body
+        : undefined;
+    const outcomeBytes = outcome.kind === "answer"
+        ? 6 + outcome.headers.length + (joinedBody?.length ?? 0)
+        : 1;
     const buf = Buffer.allocUnsafe(HEADER_BYTES + 23 + outcomeBytes);
     let offset = writeHeader(buf, RESPONSE, stream);
     offset = buf.writeUInt16BE(load.cutoff, offset);
@@ -120,8 +136,9 @@
             buf[offset] = OUTCOME_RESPONSE;
             offset = buf.writeUInt16BE(outcome.status, offset + 1);
             offset = writeText(buf, offset, outcome.headers);
-            outcome.body.copy(buf, offset);
-            return finishFrame(buf, offset + outcome.body.length);
+            if (joinedBody === undefined) return finishSeparate(buf, offset, outcome.body);
+            joinedBody.copy(buf, offset);
+            return finishFrame(buf, offset + joinedBody.length);
         case "not-run":
             buf[offset] = OUTCOME_NOT_RUN;
             buf[offset + 1] = REFUSAL_REASONS.indexOf(outcome.reason);
@@ -151,189 +168,17 @@
     return finishFrame(buf, buf.length);
 }
 
-/** Decodes the byte stream of a connection into frames. */
-export class FrameReader {
-    private buffer: Buffer | undefined;
-    private chunks: Buffer[] = [];
-    private chunkBytes = 0;
-    private neededBytes = LENGTH_BYTES;
-
-    feed(chunk: Buffer): void {
-        this.chunks.push(chunk);
-        this.chunkBytes += chunk.length;
-    }
-
-    /** Returns the next complete frame, or `undefined` if there is none. Throws `FrameError` for malformed bytes. */
-    next(): Frame | undefined {
-        if (this.buffer === undefined || this.buffer.length < this.neededBytes) {
-            const bufferedBytes = this.buffer?.length ?? 0;
-            if (bufferedBytes + this.chunkBytes < this.neededBytes) return undefined;
-            this.joinChunks();
-        }
-        const buf = this.buffer!;
-        const length = buf.readUInt32BE(0);
-        if (length < HEADER_BYTES - LENGTH_BYTES || length > MAX_FRAME_BYTES) {
-            throw new FrameError("frame length is out of range");
-        }
-        this.neededBytes = LENGTH_BYTES + length;
-        if (buf.length < this.neededBytes) return this.chunkBytes > 0 ? this.next() : undefined;
-        const frame = decodeFrame(buf.subarray(0, this.neededBytes));
-        this.buffer = buf.length === this.neededBytes ? undefined : buf.subarray(this.neededBytes);
-        this.neededBytes = LENGTH_BYTES;
-        return frame;
-    }
-
-    private joinChunks(): void {
-        const parts = this.buffer === undefined ? this.chunks : [this.buffer, ...this.chunks];
-        this.buffer = parts.length === 1 ? parts[0]! : Buffer.concat(parts);
-        this.chunks = [];
-        this.chunkBytes = 0;
-    }
-}
-
-function decodeFrame(buf: Buffer): Frame {
-    const stream = buf.readUInt32BE(5);
-    switch (buf[4]) {
-        case REQUEST:
-            return { type: "request", stream, request: decodeRequest(buf) };
-        case RESPONSE:
-            return decodeResponse(buf, stream);
-        case CANCEL:
-            return { type: "cancel", stream };
-        case CUTOFF:
-            return { type: "cutoff", stream };
-        case SILENT:
-            return { type: "silent", stream };
-        case PING:
-            return { type: "ping", stream };
-        case PONG:
-            return { type: "pong", configVersion: new FieldReader(buf, HEADER_BYTES).double() };
-        case RPC:
-            return { type: "rpc", message: buf.toString("utf8", HEADER_BYTES, buf.length) };
-        default:
-            throw new FrameError("unknown frame type");
-    }
-}
-
-function decodeRequest(buf: Buffer): ForwardedRequest {
-    const fields = new FieldReader(buf, HEADER_BYTES);
-    const flags = fields.byte();
-    const level = fields.uint32();
-    const leftMs = fields.uint32();
-    const maxQueueMs = fields.uint32();
-    const lines = new LineReader(fields.text());
-    return {
-        isIdempotent: (flags & IDEMPOTENT_FLAG) !== 0,
-        isNested: (flags & NESTED_FLAG) !== 0,
-        level,
-        leftMs,
-        maxQueueMs,
-        requestId: lines.line(),
-        service: lines.line(),
-        route: lines.line(),
-        callerService: lines.line(),
-        method: lines.line(),
-        path: lines.line(),
-        headers: lines.rest(),
-        body: fields.rest(),
-    };
-}
-
-class LineReader {
-    private offset = 0;
-
-    constructor(private readonly text: string) {}
-
-    line(): string {
-        const end = this.text.indexOf("\n", this.offset);
-        if (end < 0) throw new FrameError("request is missing a string field");
-        const line = this.text.slice(this.offset, end);
-        this.offset = end + 1;
-        return line;
-    }
-
-    rest(): string {
-        return this.text.slice(this.offset);
-    }
-}
-
-function decodeResponse(buf: Buffer, stream: number): Frame {
-    const fields = new FieldReader(buf, HEADER_BYTES);
-    const load = {
-        cutoff: fields.uint16(),
-        running: fields.uint16(),
-        queued: fields.uint16(),
-        limit: fields.uint16(),
-        serviceMs: fields.uint32() / 100,
-        configVersion: fields.double(),
-    };
-    return { type: "response", stream, load, outcome: decodeOutcome(fields) };
-}
-
-function decodeOutcome(fields: FieldReader): Outcome {
-    switch (fields.byte()) {
-        case OUTCOME_RESPONSE:
-            return { kind: "answer", status: fields.uint16(), headers: fields.text(), body: fields.rest() };
-        case OUTCOME_NOT_RUN: {
-            const reason = REFUSAL_REASONS[fields.byte()];
-            if (reason === undefined) throw new FrameError("unknown refusal reason");
-            return { kind: "not-run", reason };
-        }
-        case OUTCOME_UNKNOWN: {
-            const reason = FAILURE_REASONS[fields.byte()];
-            if (reason === undefined) throw new FrameError("unknown failure reason");
-            return { kind: "unknown", reason };
-        }
-        default:
-            throw new FrameError("unknown outcome kind");
-    }
-}
-
-class FieldReader {
-    constructor(private readonly buf: Buffer, private offset: number) {}
-
-    byte(): number {
-        return this.buf.readUInt8(this.advance(1));
-    }
-
-    uint16(): number {
-        return this.buf.readUInt16BE(this.advance(2));
-    }
-
-    uint32(): number {
-        return this.buf.readUInt32BE(this.advance(4));
-    }
-
-    double(): number {
-        return this.buf.readDoubleBE(this.advance(8));
-    }
-
-    text(): string {
-        return this.latin1(this.uint32());
-    }
-
-    rest(): Buffer {
-        return this.buf.subarray(this.offset);
-    }
-
-    private latin1(length: number): string {
-        const start = this.advance(length);
-        return this.buf.toString("latin1", start, start + length);
-    }
-
-    private advance(bytes: number): number {
-        const start = this.offset;
-        this.offset += bytes;
-        if (this.offset > this.buf.length) throw new FrameError("frame ends before its last field");
-        return start;
-    }
-}
-
 function writeHeader(buf: Buffer, type: number, stream: number): number {
     buf[4] = type;
     return buf.writeUInt32BE(stream, 5);
 }
 
+/** Ends a frame whose body is not copied into it. */
+function finishSeparate(buf: Buffer, end: number, body: Body): readonly Buffer[] {
+    buf.writeUInt32BE(end - LENGTH_BYTES + body.length, 0);
+    return [buf.subarray(0, end), ...piecesOf(body)];
+}
+
 function finishFrame(buf: Buffer, end: number): Buffer {
     buf.writeUInt32BE(end - LENGTH_BYTES, 0);
     return end === buf.length ? buf : buf.subarray(0, end);
--- a/src/mesh/metricsPage.ts
+++ b/src/mesh/metricsPage.ts
@@ -33,7 +33,7 @@
 
     private async addCounters(registry: Registry): Promise<void> {
         const { Counter } = await import("prom-client");
-        const { counters, latencies } = this.node;
+        const { counters, latencies, memory } = this.node;
         const addLabelled = (
             name: string,
             help: string,
@@ -90,6 +90,16 @@
             "Time that runs used a slot",
             counters.slotMs / MS_PER_S,
         );
+        addTotal(
+            "filbertspool_memory_refusals_total",
+            "Requests refused and responses given up for lack of memory",
+            memory.refusals,
+        );
+        addTotal(
+            "filbertspool_connections_closed_total",
+            "Connections closed because of unread responses or of their number",
+            memory.closedConnections,
+        );
         addTotal(
             "filbertspool_latency_samples_lost_total",
             "Latencies that no scrape came for in time",
@@ -114,6 +124,12 @@
             load.serviceMs / 1000,
         );
         addGauge("filbertspool_config_version", "Version in force", load.configVersion);
+        addGauge(
+            "filbertspool_memory_large_bytes",
+            "Bytes of bodies and responses above 64 KiB",
+            node.memory.largeBytes,
+        );
+        addGauge("filbertspool_memory_small_bytes", "Bytes of smaller ones", node.memory.smallBytes);
         addGauge("filbertspool_nodes_known", "Nodes known, this one included", node.directory.size);
     }
 
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -5,11 +5,12 @@
 import { HttpServer } from "../http/httpServer.ts";
 import { MAX_LEVEL } from "../policy/admissionLevel.ts";
 import { CutoffBroadcast } from "../policy/controlRate.ts";
+import { MemoryBudget } from "../policy/memoryBudget.ts";
 import { RetryBudget } from "../policy/retryBudget.ts";
 import { RouteCalls } from "../policy/routeCalls.ts";
 import { RouteDependencyMap } from "../policy/routeDependencies.ts";
 import type { StoreRole } from "../policy/storeRole.ts";
-import { toServerLimits } from "./clientLimits.ts";
+import { maxClientConnections, toServerLimits } from "./clientLimits.ts";
 import { steadyNow } from "./clock.ts";
 import { Counters } from "./counters.ts";
 import { CrashGuard } from "./crashGuard.ts";
@@ -35,6 +36,7 @@
     readonly counters = new Counters();
     readonly latencies = new LatencySamples();
     readonly runner: Runner;
+    readonly memory: MemoryBudget;
     private readonly crashGuard: CrashGuard;
     private readonly forwarder: Forwarder;
     private readonly clientServer: HttpServer;
@@ -59,6 +61,7 @@
 
     constructor(private readonly options: MeshNodeOptions) {
         this.service = options.service;
+        this.memory = new MemoryBudget(options.memoryMb);
         this.retryBudget = new RetryBudget(options.retryBudget, Infinity);
         this.crashGuard = new CrashGuard({
             name: options.name,
@@ -69,6 +72,7 @@
             crashGuard: this.crashGuard,
             routeCalls: this.routeCalls,
             ...options.target,
+            memory: this.memory,
             counters: this.counters,
             latencies: this.latencies,
             log: options.log,
@@ -105,6 +109,7 @@
             loadReport: () => this.runner.loadReport(this.configVersion),
         });
         this.peers = new Peers({
+            memory: this.memory,
             name: options.name,
             dataCentre: options.dataCentre,
             log: options.log,
@@ -124,6 +129,7 @@
             config: () => this.config,
             directory: this.peers.directory,
             runner: this.runner,
+            memory: this.memory,
             retryBudget: this.retryBudget,
             crashGuard: this.crashGuard,
             counters: this.counters,
@@ -143,11 +149,16 @@
             pauseMs: () => this.pauseDetector.pauseMs(steadyNow()),
             onHandlerError: err => options.log.event("request-error", { cause: String(err) }),
             parseHead: options.protocol.parseRequest,
+            memory: this.memory,
+            maxConnections: () =>
+                maxClientConnections(options.maxFds, this.directory.size, this.runner.limit),
+            onReleased: event => options.log.event("client-released", { ...event }),
             limits: () => toServerLimits(this.config?.limits),
             isClosing: () => this.gracefulStop.isStopping,
         });
         this.peerServer = new PeerServer({
             ...options.peer,
+            memory: this.memory,
             runner: this.runner,
             configVersion: () => this.configVersion,
             isRefusingRuns: () => this.isRefusingRuns,
@@ -259,6 +270,7 @@
         this.crashGuard.tick();
         this.peers.broadcastRouteCalls();
         this.broadcastCutoff(now);
+        this.clientServer.relieveMemory(now);
         this.peers.tick(now);
         if (++this.ticks % TICKS_PER_SECOND !== 0) return;
         this.loadLog.write(now, this.localTarget.record);
--- a/src/mesh/nodeOptions.ts
+++ b/src/mesh/nodeOptions.ts
@@ -19,6 +19,9 @@
     /** Listen address for other nodes. */
     readonly peer: HostPort;
     readonly target: HostPort;
+    /** Memory of the host for this process in MB, and its file descriptors; both have defaults. */
+    readonly memoryMb?: number | undefined;
+    readonly maxFds?: number | undefined;
     readonly retryBudget: RetryBudgetOptions;
     /** Time in ms from the stop signal until the process is killed. */
     readonly graceMs: number;
--- a/src/mesh/peerLink.ts
+++ b/src/mesh/peerLink.ts
@@ -1,6 +1,7 @@
 /** Connection on which this node sends requests to another node. A lost connection is reopened with backoff. */
 import type { JSONRPCServer } from "json-rpc-2.0";
 import net from "node:net";
+import type { MemoryBudget } from "../policy/memoryBudget.ts";
 import { steadyNow } from "./clock.ts";
 import { encodeRequest, encodeSignal } from "./frames.ts";
 import { FrameSocket } from "./frameSocket.ts";
@@ -23,6 +24,8 @@
     readonly configVersion: () => number;
     readonly onConfigVersion: (version: number) => void;
     readonly onError: (err: unknown) => void;
+    /** Bounds the bytes of responses that are arriving. */
+    readonly memory?: MemoryBudget | undefined;
 }
 
 /** Time without received data after which a ping is sent while responses are pending. */
@@ -134,6 +137,7 @@
             configVersion: this.options.configVersion,
             onConfigVersion: this.options.onConfigVersion,
             onError: this.options.onError,
+            memory: this.options.memory,
         });
         // The pong tells the other node's configuration version, which this one may have missed.
         this.frameSocket.ping(steadyNow());
@@ -143,11 +147,13 @@
     private onFrame(frame: DataPlaneFrame): void {
         if (frame.type === "cutoff") this.options.onCutoff(frame.stream);
         if (frame.type === "silent") this.listeners.get(frame.stream)?.onSilent();
-        if (frame.type !== "response") return;
+        if (frame.type !== "response" && frame.type !== "dropped") return;
         const listener = this.listeners.get(frame.stream);
         if (listener === undefined) return;
         this.listeners.delete(frame.stream);
-        listener.onOutcome(frame.outcome, frame.load);
+        if (frame.type === "response") listener.onOutcome(frame.outcome, frame.load);
+        // The request has run, so without memory for the response its outcome is unknown to the caller.
+        else listener.onOutcome({ kind: "unknown", reason: "bad-answer" }, undefined);
     }
 
     private onClose(): void {
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -1,6 +1,8 @@
 /** Accepts connections from other nodes, runs the requests that they send, and sends the outcomes back. */
 import type { JSONRPCServer } from "json-rpc-2.0";
 import net from "node:net";
+import { MAX_SMALL_BYTES } from "../policy/memoryBudget.ts";
+import type { MemoryBudget } from "../policy/memoryBudget.ts";
 import { encodePong, encodeResponse, encodeSignal } from "./frames.ts";
 import { FrameSocket } from "./frameSocket.ts";
 import type { DataPlaneFrame } from "./frameSocket.ts";
@@ -20,6 +22,8 @@
     readonly onError: (err: unknown) => void;
     /** Time in ms for which bytes that are read now may have waited, because the process was paused. */
     readonly pauseMs: () => number;
+    /** Bounds the bytes of requests that run or wait for a slot, and of their responses. */
+    readonly memory?: MemoryBudget | undefined;
 }
 
 /**
@@ -39,9 +43,9 @@
             onFrame: frame => this.onFrame(frame),
             configVersion: options.configVersion,
             onError: options.onError,
+            memory: options.memory,
             onClose: () => {
-                for (const run of this.runs.values()) options.runner.cancel(run);
-                this.runs.clear();
+                for (const stream of [...this.runs.keys()]) this.cancel(stream);
                 onClose();
             },
         });
@@ -55,6 +59,9 @@
             case "cancel":
                 this.cancel(frame.stream);
                 return;
+            case "dropped":
+                this.sendOutcome(frame.stream, { kind: "not-run", reason: "memory" });
+                return;
             // Only the accepting side sends these, so a frame from the connecting side is ignored.
             case "response":
             case "cutoff":
@@ -63,31 +70,52 @@
     }
 
     private runRequest(stream: number, req: ForwardedRequest): void {
+        if (this.options.isRefusingRuns()) {
+            this.sendOutcome(stream, { kind: "not-run", reason: "stopping" });
+            return;
+        }
+        const bodyBytes = req.body.length;
+        if (bodyBytes > 0 && this.options.memory?.tryResize(0, bodyBytes, "request") === false) {
+            this.sendOutcome(stream, { kind: "not-run", reason: "memory" });
+            return;
+        }
         let isDone = false;
-        const sendOutcome = (outcome: Outcome) => {
+        const onDone = (outcome: Outcome) => {
             isDone = true;
             this.runs.delete(stream);
-            const { runner, configVersion } = this.options;
-            this.frameSocket.write(encodeResponse(stream, outcome, runner.loadReport(configVersion())));
+            if (bodyBytes > 0) this.options.memory?.resize(bodyBytes, 0);
+            this.sendOutcome(stream, outcome);
         };
-        if (this.options.isRefusingRuns()) {
-            sendOutcome({ kind: "not-run", reason: "stopping" });
-            return;
-        }
         const onSilent = () => this.frameSocket.write(encodeSignal("silent", stream));
         const leftMs = Math.max(0, req.leftMs - this.options.pauseMs());
         const run = this.options.runner.submit(leftMs === req.leftMs ? req : { ...req, leftMs }, {
-            onDone: sendOutcome,
+            onDone,
             onSilent,
         });
         if (!isDone) this.runs.set(stream, run);
     }
 
+    private sendOutcome(stream: number, outcome: Outcome): void {
+        const { runner, configVersion, memory } = this.options;
+        const load = runner.loadReport(configVersion());
+        const bytes = outcome.kind === "answer" ? outcome.body.length : 0;
+        if (bytes <= MAX_SMALL_BYTES || memory === undefined) {
+            this.frameSocket.write(encodeResponse(stream, outcome, load));
+        }
+        else if (memory.tryResize(0, bytes, "response")) {
+            this.frameSocket.write(encodeResponse(stream, outcome, load), () => memory.resize(bytes, 0));
+        }
+        // The request has run, so without memory for the response its outcome is unknown to the caller.
+        else this.frameSocket.write(encodeResponse(stream, { kind: "unknown", reason: "bad-answer" }, load));
+    }
+
+    /** A run that is not cancelled, since it may not be, releases its memory when it is done. */
     private cancel(stream: number): void {
         const run = this.runs.get(stream);
         if (run === undefined) return;
         this.runs.delete(stream);
         this.options.runner.cancel(run);
+        if (run.isDone) this.options.memory?.resize(run.req.body.length, 0);
     }
 }
 
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -17,7 +17,7 @@
 import { NodeDirectory, safeParseNodeRecord } from "./nodeDirectory.ts";
 import type { KnownNode, RecordSource } from "./nodeDirectory.ts";
 import { PeerLink } from "./peerLink.ts";
-import type { OutcomeListener } from "./peerLink.ts";
+import type { OutcomeListener, PeerLinkOptions } from "./peerLink.ts";
 import type { TargetHistory } from "./targetHistory.ts";
 import type { ForwardedRequest, NodeRecord } from "./types.ts";
 
@@ -25,6 +25,7 @@
     readonly name: string;
     readonly dataCentre: string;
     readonly log: EventLog;
+    readonly memory?: PeerLinkOptions["memory"];
     readonly ownRecord: () => NodeRecord;
     readonly configVersion: () => number;
     /** Encoded form of the configuration in force; `undefined` until there is one. */
@@ -360,6 +361,7 @@
             return;
         }
         const link = new PeerLink({
+            memory: this.options.memory,
             address: node.record.address,
             rpcServer: this.rpcServer,
             configVersion: this.options.configVersion,
--- a/src/mesh/targetConnectionPool.ts
+++ b/src/mesh/targetConnectionPool.ts
@@ -5,15 +5,17 @@
  * otherwise it may be a late copy of an earlier response.
  */
 import net from "node:net";
+import type { Body } from "../http/body.ts";
 import type { ResponseHead } from "../http/messageHead.ts";
 import { HttpSyntaxError, MessageReader } from "../http/messageReader.ts";
 import type { HttpMessage } from "../http/messageReader.ts";
+import type { MemoryBudget } from "../policy/memoryBudget.ts";
 import { steadyNow } from "./clock.ts";
 import type { TargetProtocol } from "./protocol.ts";
 import type { FailureReason } from "./types.ts";
 
 export type ExchangeResult =
-    | { readonly kind: "response"; readonly head: ResponseHead; readonly body: Buffer; }
+    | { readonly kind: "response"; readonly head: ResponseHead; readonly body: Body; }
     /** The request was not sent, because no connection could be opened. */
     | { readonly kind: "unreachable"; }
     /** The request was sent, but no usable response arrived. `detail`: why the response was unusable, for the log. */
@@ -29,7 +31,8 @@
 export interface TargetRequest {
     readonly requestId: string;
     readonly method: string;
-    readonly bytes: Buffer;
+    /** One buffer, or several that are written one after the other. */
+    readonly bytes: Buffer | readonly Buffer[];
     readonly isIdempotent: boolean;
     readonly onResult: (result: ExchangeResult) => void;
 }
@@ -43,7 +46,7 @@
 /** Shared by all connections; the bytes of each read are copied before the next read overwrites them. */
 const READ_BUFFER = Buffer.allocUnsafeSlow(64 * 1024);
 const RESPONSE_LIMITS = { maxHeadBytes: 64 * 1024, maxBodyBytes: 16 * 1024 * 1024 };
-/** Limit for all incomplete responses together. A node has 128 MB of memory, and forwarding copies a response. */
+/** Limit for all incomplete responses together, whatever the memory budget is. */
 const MAX_BUFFERED_RESPONSE_BYTES = 32 * 1024 * 1024;
 /** Maximum number of interim responses and responses to other requests before the response to a request. */
 const MAX_SKIPPED_RESPONSES = 16;
@@ -52,6 +55,8 @@
     readonly host: string;
     readonly port: number;
     readonly protocol: TargetProtocol;
+    /** Counts the bytes of incomplete responses. */
+    readonly memory?: MemoryBudget | undefined;
 }
 
 class TargetConnection {
@@ -88,7 +93,7 @@
         this.requestCount++;
         this.skippedResponses = 0;
         this.reader.isBodyless = request.method === "HEAD";
-        if (this.isOpen) this.socket.write(request.bytes);
+        if (this.isOpen) this.write(request.bytes);
     }
 
     get isReceivingResponse(): boolean {
@@ -106,7 +111,17 @@
     private onConnect(): void {
         this.isOpen = true;
         this.socket.setTimeout(0);
-        if (this.currentRequest !== undefined) this.socket.write(this.currentRequest.bytes);
+        if (this.currentRequest !== undefined) this.write(this.currentRequest.bytes);
+    }
+
+    private write(bytes: Buffer | readonly Buffer[]): void {
+        if (Buffer.isBuffer(bytes)) {
+            this.socket.write(bytes);
+            return;
+        }
+        this.socket.cork();
+        for (const buffer of bytes) this.socket.write(buffer);
+        this.socket.uncork();
     }
 
     private onRead(bytes: number): boolean {
@@ -166,7 +181,7 @@
     }
 
     /** Checks a body that ends with its connection against its seal. Any other body, or one without a seal, passes. */
-    private isComplete({ framing, seal }: ResponseHead, body: Buffer): boolean {
+    private isComplete({ framing, seal }: ResponseHead, body: Body): boolean {
         if (framing.kind !== "until-close" || seal === undefined) return true;
         return this.options.protocol.lengthMatchesSeal(seal, body.length);
     }
@@ -212,6 +227,7 @@
      */
     trackBufferedBytes(conn: TargetConnection, bytes: number): void {
         this.totalBufferedBytes += bytes - conn.bufferedBytes;
+        this.options.memory?.resize(conn.bufferedBytes, bytes);
         conn.bufferedBytes = bytes;
         if (this.totalBufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) return;
         let largest = conn;
--- a/src/mesh/targetRequest.ts
+++ b/src/mesh/targetRequest.ts
@@ -1,4 +1,5 @@
 /** HTTP form of a request as it is sent to the local target. */
+import { MAX_JOINED_BODY_BYTES, piecesOf } from "../http/body.ts";
 import type { HeaderNames } from "../http/messageHead.ts";
 import type { ForwardedRequest } from "./types.ts";
 
@@ -12,18 +13,21 @@
 
 const METHODS_WITH_BODY: readonly string[] = ["POST", "PUT", "PATCH"];
 
+/** Returns what is to be written; only a small body is copied. */
 export function encodeTargetRequest(
     req: ForwardedRequest,
     { names, targetId, leftMs }: TargetRequestOptions,
-): Buffer {
-    const length = req.body.length > 0 || METHODS_WITH_BODY.includes(req.method)
-        ? `Content-Length: ${req.body.length}\r\n`
+): Buffer | readonly Buffer[] {
+    const { body } = req;
+    const length = body.length > 0 || METHODS_WITH_BODY.includes(req.method)
+        ? `Content-Length: ${body.length}\r\n`
         : "";
     const head = `${req.method} ${req.path} HTTP/1.1\r\n${req.headers}${names.deadlineMs}: ${leftMs}\r\n`
         + `${names.targetInstance}: ${targetId}\r\n${names.callerService}: ${req.callerService}\r\n${length}\r\n`;
-    if (req.body.length === 0) return Buffer.from(head, "latin1");
-    const buf = Buffer.allocUnsafe(head.length + req.body.length);
+    if (body.length === 0) return Buffer.from(head, "latin1");
+    if (body.length > MAX_JOINED_BODY_BYTES) return [Buffer.from(head, "latin1"), ...piecesOf(body)];
+    const buf = Buffer.allocUnsafe(head.length + body.length);
     buf.write(head, 0, "latin1");
-    req.body.copy(buf, head.length);
+    for (const piece of piecesOf(body)) piece.copy(buf, head.length);
     return buf;
 }
--- a/src/mesh/types.ts
+++ b/src/mesh/types.ts
@@ -1,4 +1,5 @@
 /** Types of the mesh data plane: routes, targets, requests and their outcomes. */
+import type { Body } from "../http/body.ts";
 
 export interface WeightedService {
     readonly service: string;
@@ -152,7 +153,7 @@
     readonly kind: "answer";
     readonly status: number;
     readonly headers: string;
-    readonly body: Buffer;
+    readonly body: Body;
 }
 
 export interface NotRunOutcome {
@@ -177,7 +178,7 @@
     readonly method: string;
     readonly path: string;
     readonly headers: string;
-    readonly body: Buffer;
+    readonly body: Body;
     readonly isIdempotent: boolean;
     /** Whether a target made this request while it ran another one. */
     readonly isNested: boolean;
--- a/test/mesh/frames.test.ts
+++ b/test/mesh/frames.test.ts
@@ -1,16 +1,13 @@
 /** Frames between nodes: decoding returns what was encoded, however the connection splits the bytes. */
 import { expect } from "chai";
 import fc from "fast-check";
-import {
-    encodeRequest,
-    encodeResponse,
-    encodeRpc,
-    encodeSignal,
-    FrameError,
-    FrameReader,
-} from "../../src/mesh/frames.ts";
+import { piecesOf } from "../../src/http/body.ts";
+import { FrameReader } from "../../src/mesh/frameReader.ts";
+import { encodeRequest, encodeResponse, encodeRpc, encodeSignal, FrameError } from "../../src/mesh/frames.ts";
 import type { Frame } from "../../src/mesh/frames.ts";
 import type { ForwardedRequest, LoadReport, Outcome } from "../../src/mesh/types.ts";
+import { MemoryBudget } from "../../src/policy/memoryBudget.ts";
+import { makeForwardedRequest } from "../support/meshFixtures.ts";
 
 const asciiText = (maxLength: number) =>
     fc.array(fc.integer({ min: 32, max: 126 }), { maxLength }).map(codes => String.fromCharCode(...codes));
@@ -59,8 +56,8 @@
     configVersion: 12,
 };
 
-function readFrames(bytes: Buffer, chunkBytes: number): readonly Frame[] {
-    const reader = new FrameReader();
+function readFrames(bytes: Buffer, chunkBytes: number, memory?: MemoryBudget): readonly Frame[] {
+    const reader = new FrameReader(memory);
     const frames: Frame[] = [];
     for (let offset = 0; offset < bytes.length; offset += chunkBytes) {
         reader.feed(bytes.subarray(offset, offset + chunkBytes));
@@ -82,7 +79,7 @@
                         encodeSignal("cancel", 6),
                         encodeResponse(7, outcome, LOAD),
                         encodeRpc("{\"é\":1}"),
-                    ]);
+                    ].flat());
                     expect(readFrames(bytes, chunkBytes)).to.deep.equal([
                         { type: "request", stream: 5, request },
                         { type: "cancel", stream: 6 },
@@ -94,6 +91,43 @@
         );
     });
 
+    it("keep a large body as it arrived, and are followed by others", () => {
+        const body = Buffer.from(Array.from({ length: 300_000 }, (_, index) => index % 251));
+        const request = makeForwardedRequest({ body, headers: "A: 1\r\n" });
+        const outcome = { kind: "answer", status: 200, headers: "B: 2\r\n", body } as const;
+        const frames = [
+            encodeRequest(5, request),
+            encodeResponse(7, outcome, LOAD),
+            encodeSignal("cancel", 6),
+        ];
+        for (const chunkBytes of [7, 65_536, 1_000_000]) {
+            const read = readFrames(Buffer.concat(frames.flat()), chunkBytes).map(frame => {
+                if (frame.type === "request") return [frame.request.headers, frame.request.body];
+                if (frame.type === "response" && frame.outcome.kind === "answer") {
+                    return [frame.outcome.headers, frame.outcome.body];
+                }
+                return [frame.type];
+            });
+            const joined = read.map(([text, part]) =>
+                typeof part === "object" ? [text, Buffer.concat(piecesOf(part))] : [text]
+            );
+            expect(joined).to.deep.equal([["A: 1\r\n", body], ["B: 2\r\n", body], ["cancel"]]);
+        }
+    });
+
+    it("are skipped and reported if there is no memory for them, and release what they held", () => {
+        const budget = new MemoryBudget(250);
+        budget.resize(0, 70_000_000);
+        const request = makeForwardedRequest({ body: Buffer.alloc(3_000_000) });
+        const bytes = Buffer.concat([encodeRequest(5, request), encodeSignal("cancel", 6)].flat());
+        expect(readFrames(bytes, 65_536, budget)).to.deep.equal([
+            { type: "dropped", stream: 5, dropped: "request" },
+            { type: "cancel", stream: 6 },
+        ]);
+        expect(budget.largeBytes).to.equal(70_000_000);
+        expect(budget.smallBytes).to.equal(0);
+    });
+
     it("cause no error but FrameError when they are malformed", () => {
         fc.assert(fc.property(fc.uint8Array({ minLength: 4, maxLength: 300 }), bytes => {
             const buf = Buffer.from(bytes);
--- a/test/platform/pauses.test.ts
+++ b/test/platform/pauses.test.ts
@@ -45,8 +45,11 @@
                 isIdempotent: false,
                 leftMs,
             });
-        socket.write(encodeRequest(1, request("expired", 1000)));
-        socket.write(encodeRequest(2, request("in-time", 8000)));
+        const frames = [
+            encodeRequest(1, request("expired", 1000)),
+            encodeRequest(2, request("in-time", 8000)),
+        ];
+        for (const buffer of frames.flat()) socket.write(buffer);
         pauseProcess();
         await settle();
         socket.destroy();
