--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -54,6 +54,20 @@
         });
     });
 
+    it("parses the limits of the host, and leaves missing or malformed ones to their defaults", () => {
+        const limitsOf = (lines: string) => {
+            const { memoryMb, maxFds } = parseSettings(`${SETTINGS}${lines}`, "s.toml");
+            return { memoryMb, maxFds };
+        };
+        expect(limitsOf("[limits]\nmemory_mb = 250\nmax_fds = 4100\n")).to.deep.equal({
+            memoryMb: 250,
+            maxFds: 4100,
+        });
+        expect(limitsOf("[limits]\nmemory_mb = -1\nmax_fds = \"many\"\n"))
+            .to.deep.equal({ memoryMb: undefined, maxFds: undefined });
+        expect(limitsOf("")).to.deep.equal({ memoryMb: undefined, maxFds: undefined });
+    });
+
     it("parses the prefixes of traced request ids and rejects invalid ones", () => {
         expect(parseTracedIdPrefixes("", "V")).to.deep.equal([]);
         expect(parseTracedIdPrefixes("9c41, a-b.1", "V")).to.deep.equal(["9c41", "a-b.1"]);
