--- a/src/mesh/forwarder.ts
+++ b/src/mesh/forwarder.ts
@@ -35,7 +35,13 @@
 export interface ForwarderOptions extends
     Pick<
         DispatcherOptions,
-        "ownService" | "directory" | "runner" | "sendToNode" | "onConfigVersion" | "accountNameField"
+        | "ownService"
+        | "directory"
+        | "runner"
+        | "sendToNode"
+        | "onConfigVersion"
+        | "accountNameField"
+        | "memory"
     >,
     CallAdmissionOptions
 {
--- a/src/mesh/metricsPage.ts
+++ b/src/mesh/metricsPage.ts
@@ -33,7 +33,7 @@
 
     private async addCounters(registry: Registry): Promise<void> {
         const { Counter } = await import("prom-client");
-        const { counters, latencies } = this.node;
+        const { counters, latencies, memory } = this.node;
         const addLabelled = (
             name: string,
             help: string,
@@ -121,6 +121,16 @@
             "Time that runs used a slot",
             counters.slotMs / MS_PER_S,
         );
+        addTotal(
+            "filbertspool_memory_refusals_total",
+            "Requests refused and responses given up for lack of memory",
+            memory.refusals,
+        );
+        addTotal(
+            "filbertspool_connections_closed_total",
+            "Connections closed because of unread responses or of their number",
+            memory.closedConnections,
+        );
         addTotal(
             "filbertspool_latency_samples_lost_total",
             "Latencies that no scrape came for in time",
@@ -148,6 +158,12 @@
         if (node.storeEra !== undefined) {
             addGauge("filbertspool_store_era", "Era of the store", node.storeEra);
         }
+        addGauge(
+            "filbertspool_memory_large_bytes",
+            "Bytes of bodies and responses above 64 KiB",
+            node.memory.largeBytes,
+        );
+        addGauge("filbertspool_memory_small_bytes", "Bytes of smaller ones", node.memory.smallBytes);
         addGauge("filbertspool_nodes_known", "Nodes known, this one included", node.directory.size);
         const labelNames = ["pool"];
         const delegatedGauge = new Gauge({
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -5,11 +5,12 @@
 import { HttpServer } from "../http/httpServer.ts";
 import { MAX_LEVEL } from "../policy/admissionLevel.ts";
 import { CutoffBroadcast } from "../policy/controlRate.ts";
+import { MemoryBudget } from "../policy/memoryBudget.ts";
 import { RetryBudget } from "../policy/retryBudget.ts";
 import { RouteCalls } from "../policy/routeCalls.ts";
 import { RouteDependencyMap } from "../policy/routeDependencies.ts";
 import type { StoreRole } from "../policy/storeRole.ts";
-import { toServerLimits } from "./clientLimits.ts";
+import { maxClientConnections, toServerLimits } from "./clientLimits.ts";
 import { steadyNow } from "./clock.ts";
 import { Counters } from "./counters.ts";
 import { CrashGuard } from "./crashGuard.ts";
@@ -37,6 +38,7 @@
     readonly latencies = new LatencySamples();
     readonly runner: Runner;
     readonly quotas: Quotas;
+    readonly memory: MemoryBudget;
     private readonly crashGuard: CrashGuard;
     private readonly forwarder: Forwarder;
     private readonly clientServer: HttpServer;
@@ -61,6 +63,7 @@
 
     constructor(private readonly options: MeshNodeOptions) {
         this.service = options.service;
+        this.memory = new MemoryBudget(options.memoryMb);
         this.retryBudget = new RetryBudget(options.retryBudget, Infinity);
         this.crashGuard = new CrashGuard({
             name: options.name,
@@ -71,6 +74,7 @@
             crashGuard: this.crashGuard,
             routeCalls: this.routeCalls,
             ...options.target,
+            memory: this.memory,
             counters: this.counters,
             latencies: this.latencies,
             log: options.log,
@@ -110,6 +114,7 @@
             loadReport: () => this.runner.loadReport(this.configVersion),
         });
         this.peers = new Peers({
+            memory: this.memory,
             name: options.name,
             dataCentre: options.dataCentre,
             log: options.log,
@@ -150,6 +155,7 @@
             config: () => this.config,
             directory: this.peers.directory,
             runner: this.runner,
+            memory: this.memory,
             retryBudget: this.retryBudget,
             crashGuard: this.crashGuard,
             counters: this.counters,
@@ -170,11 +176,16 @@
             pauseMs: () => this.pauseDetector.pauseMs(steadyNow()),
             onHandlerError: err => options.log.event("request-error", { cause: String(err) }),
             parseHead: options.protocol.parseRequest,
+            memory: this.memory,
+            maxConnections: () =>
+                maxClientConnections(options.maxFds, this.directory.size, this.runner.limit),
+            onReleased: event => options.log.event("client-released", { ...event }),
             limits: () => toServerLimits(this.config?.limits),
             isClosing: () => this.gracefulStop.isStopping,
         });
         this.peerServer = new PeerServer({
             ...options.peer,
+            memory: this.memory,
             runner: this.runner,
             configVersion: () => this.configVersion,
             isRefusingRuns: () => this.isRefusingRuns,
@@ -294,6 +305,7 @@
         this.crashGuard.tick();
         this.peers.broadcastRouteCalls();
         this.broadcastCutoff(now);
+        this.clientServer.relieveMemory(now);
         this.peers.tick(now);
         if (++this.ticks % TICKS_PER_SECOND !== 0) return;
         this.loadLog.write(now, this.localTarget.record);
--- a/src/mesh/nodeOptions.ts
+++ b/src/mesh/nodeOptions.ts
@@ -20,6 +20,9 @@
     /** Listen address for other nodes. */
     readonly peer: HostPort;
     readonly target: HostPort;
+    /** Memory of the host for this process in MB, and its file descriptors; both have defaults. */
+    readonly memoryMb?: number | undefined;
+    readonly maxFds?: number | undefined;
     readonly retryBudget: RetryBudgetOptions;
     /** What the checked bound of the quotas allows beyond them. */
     readonly quotaBounds: QuotaBounds;
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -12,12 +12,13 @@
 import { steadyNow } from "./clock.ts";
 import { ConfigSync, toTransferForm } from "./configSync.ts";
 import type { CrashReport } from "./crashGuard.ts";
+import { dependenciesSchema } from "./dependencyMessages.ts";
 import type { EventLog } from "./eventLog.ts";
 import type { FrameSocket } from "./frameSocket.ts";
 import { NodeDirectory, safeParseNodeRecord } from "./nodeDirectory.ts";
 import type { KnownNode, RecordSource } from "./nodeDirectory.ts";
 import { PeerLink } from "./peerLink.ts";
-import type { OutcomeListener } from "./peerLink.ts";
+import type { OutcomeListener, PeerLinkOptions } from "./peerLink.ts";
 import type { TargetHistory } from "./targetHistory.ts";
 import type { ForwardedRequest, NodeRecord } from "./types.ts";
 
@@ -25,6 +26,7 @@
     readonly name: string;
     readonly dataCentre: string;
     readonly log: EventLog;
+    readonly memory?: PeerLinkOptions["memory"];
     readonly ownRecord: () => NodeRecord;
     readonly configVersion: () => number;
     /** Encoded form of the configuration in force; `undefined` until there is one. */
@@ -43,19 +45,6 @@
     readonly onReportedEra?: (era: number) => void;
 }
 
-const dependenciesSchema = v.object({
-    uses: v.optional(v.array(v.object({ route: v.string(), services: v.array(v.string()) })), []),
-    calls: v.optional(
-        v.array(v.object({
-            route: v.string(),
-            calledRoute: v.string(),
-            service: v.string(),
-            calls: v.pipe(v.number(), v.minValue(0), v.maxValue(1e6)),
-        })),
-        [],
-    ),
-});
-
 type RpcChannel = Pick<FrameSocket, "notify" | "request">;
 
 /** Minimum time between two probes of all connections. */
@@ -369,6 +358,7 @@
             return;
         }
         const link = new PeerLink({
+            memory: this.options.memory,
             address: node.record.address,
             rpcServer: this.rpcServer,
             configVersion: this.options.configVersion,
