Update the distribution of accounts less often at few requests

Cause: a CPU profile at 800 requests per second showed 0.5 ms per update with 75 accounts (80 updates, 41 ms), which at 30 requests per second would be 0.08 ms per request. Change: an update after 1 s, or after 0.2 s and 100 requests.

--- a/src/policy/priorityDemand.ts
+++ b/src/policy/priorityDemand.ts
@@ -1,7 +1,6 @@
 /**
  * Demand of the accounts for one priority at one node, and the distribution of the requests by load that follows from
- * it. A request costs a lookup and a binary search; the work that grows with the number of accounts is done at most
- * every `REFRESH_INTERVAL_MS`.
+ * it. A request costs a lookup and a binary search; the work that grows with the number of accounts is done at intervals.
  */
 import type { ClientAccount } from "../mesh/types.ts";
 
@@ -27,7 +26,13 @@
 
 /** Further accounts are not told apart: their requests get the level that they have without accounts. */
 const MAX_ACCOUNTS = 1024;
-const REFRESH_INTERVAL_MS = 200;
+/**
+ * The distribution is updated after the longer interval, or after the shorter one if there were enough requests. An
+ * update with 75 accounts costs about 0.5 ms in code that runs so rarely that it is not optimized.
+ */
+const MAX_REFRESH_INTERVAL_MS = 1000;
+const MIN_REFRESH_INTERVAL_MS = 200;
+const MIN_REFRESH_REQUESTS = 100;
 /**
  * Time constant of the current demand. At the rates of single accounts at single nodes, about one request per second,
  * a time constant of 2 s counted so much random variation as load that clients that retry at once gained more by it.
@@ -60,6 +65,7 @@
 export class PriorityDemand {
     private readonly accounts = new Map<string, AccountDemand>();
     private refreshedAt: number;
+    private requestsSinceRefresh = 0;
     private totalRate = 0;
     /** Requests per second divided by what all accounts are owed. */
     private meanLoad = 0;
@@ -82,7 +88,11 @@
         { name, ratePerS }: Pick<ClientAccount, "name" | "ratePerS">,
         now: number,
     ): number | undefined {
-        if (now - this.refreshedAt >= REFRESH_INTERVAL_MS) this.refresh(now);
+        const elapsedMs = now - this.refreshedAt;
+        this.requestsSinceRefresh++;
+        const isDue = elapsedMs >= MAX_REFRESH_INTERVAL_MS
+            || elapsedMs >= MIN_REFRESH_INTERVAL_MS && this.requestsSinceRefresh > MIN_REFRESH_REQUESTS;
+        if (isDue) this.refresh(now);
         let account = this.accounts.get(name);
         if (account === undefined) {
             if (this.accounts.size >= MAX_ACCOUNTS) return undefined;
@@ -109,6 +119,7 @@
     private refresh(now: number): void {
         const elapsedMs = now - this.refreshedAt;
         this.refreshedAt = now;
+        this.requestsSinceRefresh = 0;
         const recentDecay = Math.exp(-elapsedMs / RECENT_MS);
         const usualDecay = Math.exp(-elapsedMs / USUAL_MS);
         for (const [name, account] of this.accounts) {
