Leave a pool node that does not answer, and count its lease from the echo

Cause: a paused pool node keeps its connections, so its nodes kept reporting to it, and each report without a response extended the time until their shares came back. Change: after two reports without a response another pool node is chosen.

--- a/src/mesh/quotas.ts
+++ b/src/mesh/quotas.ts
@@ -258,7 +258,9 @@
             return node?.isConnected === true && node.record.isRefusingRuns !== true;
         };
         const isLent = share.isLent(now);
-        const next = chooser.choose({ current, isLent, isUsable }, now);
+        // A node answers its own reports in the same process.
+        const isSilent = share.isPoolNodeSilent && current !== this.options.name;
+        const next = chooser.choose({ current, isLent, isSilent, isUsable }, now);
         if (next === undefined || next === current) return;
         const { log } = this.options;
         log.event("quota-pool-node", { pool: label, node: next, previous: current });
--- a/src/policy/quotaPoolNodes.ts
+++ b/src/policy/quotaPoolNodes.ts
@@ -9,17 +9,22 @@
  * the lifetime of a token, and a node that restarts may be lost again.
  */
 const MOVE_DELAY_MS = 3000;
+/** Time for which a node that did not answer is not chosen, unless there is no other one. */
+const SILENT_MS = 10_000;
 
 export interface PoolNodeState {
     readonly current: string | undefined;
     /** Whether the share is lent to the current pool node. Otherwise a move costs nothing. */
     readonly isLent: boolean;
+    /** Whether the current pool node does not answer reports. */
+    readonly isSilent: boolean;
     readonly isUsable: (nodeName: string) => boolean;
 }
 
 export class PoolNodeChooser {
     /** All nodes, in the order in which they are preferred as the pool node. */
     private order: readonly string[] = [];
+    private readonly silentUntil = new Map<string, number>();
     private better: { readonly name: string; readonly since: number; } | undefined;
 
     constructor(private readonly poolCount: number, private readonly poolIndex: number) {}
@@ -31,9 +36,12 @@
     }
 
     /** Name of the pool node to be used from now on; `undefined` if no node is usable. */
-    choose({ current, isLent, isUsable }: PoolNodeState, now: number): string | undefined {
-        const best = this.order.find(isUsable);
-        if (best === current || current === undefined || !isLent || !isUsable(current)) {
+    choose({ current, isLent, isSilent, isUsable }: PoolNodeState, now: number): string | undefined {
+        for (const [name, until] of this.silentUntil) if (until <= now) this.silentUntil.delete(name);
+        if (isSilent && current !== undefined) this.silentUntil.set(current, now + SILENT_MS);
+        const best = this.order.find(name => isUsable(name) && !this.silentUntil.has(name))
+            ?? this.order.find(isUsable);
+        if (best === current || current === undefined || !isLent || isSilent || !isUsable(current)) {
             this.better = undefined;
             return best;
         }
--- a/src/policy/quotaShare.ts
+++ b/src/policy/quotaShare.ts
@@ -12,6 +12,7 @@
 /** Minimum interval of reports because of requests that wait, and of reports because few tokens are left. */
 const WAITING_REPORT_MS = 25;
 const LOW_REPORT_MS = 50;
+const SILENT_REPORTS = 2;
 /** Fewer tokens than this are not replenished before the next report. */
 const MIN_LOW_BATCH = 4;
 /** Time constant of the smoothed demand. */
@@ -70,9 +71,15 @@
     private echo: ProcessTime | undefined;
     private poolVersion: number | undefined;
     private freeAt: number;
-    private delegatedAt = -Infinity;
-    /** When the last delegating report was sent to which there was no response. */
-    private unansweredAt = -Infinity;
+    private echoReceivedAt = -Infinity;
+    /**
+     * Until when the share may be in use at the current pool node. It counts from the receipt of the echo: all reports
+     * with the same echo count until the same time, so reports without a response do not extend the delegation.
+     */
+    private lentUntil = -Infinity;
+    /** The same for the last delegating report without a response. */
+    private unansweredLentUntil = -Infinity;
+    private unansweredReports = 0;
     private sentAt = -Infinity;
     private pending: SentReport | undefined;
     private nodeCount = 1;
@@ -100,7 +107,7 @@
 
     /** From when on another pool may get the share. */
     shareFreeAt(): number {
-        return Math.max(this.freeAt, this.delegatedAt + TAKE_BACK_MS * this.scale);
+        return Math.max(this.freeAt, this.lentUntil);
     }
 
     /** Sets from when on the share may be delegated, if that was not known when this object was created. */
@@ -110,7 +117,12 @@
 
     /** Whether the share is or may be at a pool node now. */
     isLent(now: number): boolean {
-        return now < this.delegatedAt + TAKE_BACK_MS * this.scale;
+        return now < this.lentUntil;
+    }
+
+    /** Whether the pool node does not answer, e.g. because it is paused. A single report may be lost to a pause here. */
+    get isPoolNodeSilent(): boolean {
+        return this.unansweredReports >= SILENT_REPORTS;
     }
 
     setNodeCount(nodeCount: number): void {
@@ -146,13 +158,14 @@
                 isWithdrawal: true,
             }
             : undefined;
-        if (this.pending?.report.isDelegating === true) this.unansweredAt = this.pending.sentAt;
+        if (this.pending?.report.isDelegating === true) this.unansweredLentUntil = this.lentUntil;
+        this.unansweredReports = 0;
         this.freeAt = this.shareFreeAt();
         this.poolNodeName = name;
         this.generation++;
         this.echo = undefined;
         this.poolVersion = undefined;
-        this.delegatedAt = -Infinity;
+        this.lentUntil = -Infinity;
         this.sentAt = -Infinity;
         this.pending = undefined;
         return withdrawal;
@@ -208,7 +221,7 @@
         const elapsed = now - this.sentAt;
         if (this.hasWaiting && elapsed >= WAITING_REPORT_MS) return true;
         // The delegation starts with the second report, which has the echo of the first response.
-        const isStarting = this.echo !== undefined && this.delegatedAt === -Infinity && now >= this.freeAt;
+        const isStarting = this.echo !== undefined && this.lentUntil === -Infinity && now >= this.freeAt;
         if ((this.isLow || isStarting) && elapsed >= LOW_REPORT_MS) return true;
         return elapsed >= (this.isActive ? ACTIVE_REPORT_MS : IDLE_REPORT_MS) * scale;
     }
@@ -217,7 +230,7 @@
     createReport(now: number): SentReport {
         const entries = this.createEntries(now);
         const isDelegating = this.echo !== undefined && now >= this.freeAt;
-        if (isDelegating) this.delegatedAt = now;
+        if (isDelegating) this.lentUntil = this.echoReceivedAt + TAKE_BACK_MS * this.scale;
         this.sentAt = now;
         this.isActive = entries.length > 0;
         this.hasWaiting = false;
@@ -236,12 +249,14 @@
         if (sent.isWithdrawal) this.onWithdrawn(sent, now);
         if (sent !== this.pending) return false;
         this.pending = undefined;
+        this.unansweredReports = 0;
         if (this.echo !== undefined && this.echo.process !== response.time.process) {
             // A new process at the pool node: the delegation to the earlier one has to expire.
             this.freeAt = this.shareFreeAt();
-            this.delegatedAt = -Infinity;
+            this.lentUntil = -Infinity;
         }
         this.echo = response.time;
+        this.echoReceivedAt = now;
         this.poolVersion = response.version;
         const validUntil = sent.sentAt + TOKEN_LIFETIME_MS * this.scale;
         for (const [key, tokens, askAgainMs, retryMs] of response.entries) {
@@ -262,7 +277,8 @@
     /** Handles that a report got no response. */
     onNoResponse(sent: SentReport): void {
         if (sent !== this.pending) return;
-        if (sent.report.isDelegating) this.unansweredAt = sent.sentAt;
+        if (sent.report.isDelegating) this.unansweredLentUntil = this.lentUntil;
+        this.unansweredReports++;
         this.pending = undefined;
     }
 
@@ -273,8 +289,8 @@
     /** Tokens that the previous pool node has given may still be in use for a while. */
     private onWithdrawn(withdrawal: SentReport, now: number): void {
         if (withdrawal.generation + 1 !== this.generation) return;
-        const unansweredUntil = this.unansweredAt + TAKE_BACK_MS * this.scale;
-        this.freeAt = Math.min(this.freeAt, Math.max(now + TOKEN_LIFETIME_MS * this.scale, unansweredUntil));
+        const expiredAt = now + TOKEN_LIFETIME_MS * this.scale;
+        this.freeAt = Math.min(this.freeAt, Math.max(expiredAt, this.unansweredLentUntil));
     }
 
     private applyTokens(held: AccountTokens, tokens: number, validUntil: number, now: number): void {
