--- a/test/platform/quotas.test.ts
+++ b/test/platform/quotas.test.ts
@@ -92,6 +92,15 @@
         expect(quotas.onReport(valid)).to.be.an("array");
     });
 
+    it("are shown in the metrics of the pool node", async () => {
+        limitAccounts();
+        await waitForDelegations(mesh.hosts, 0.99);
+        const { settings } = mesh.hosts.find(host => delegatedShareOf(host) >= 0.99)!;
+        const page = await (await fetch(`http://127.0.0.1:${settings.metrics.port}/metrics`)).text();
+        expect(page).to.contain("filbertspool_quota_share_delegated{pool=\"1/1\"} 1");
+        expect(page).to.match(/filbertspool_quota_reports_received_total [1-9]/);
+    });
+
     // Guards against a cost in deployments without accounts.
     it("send nothing while no account has a rate", async () => {
         await settle(600);
