Learn the concurrency limit of a target from its service times

Some targets get 1.3 times slower once 95 % of their slots are in use, which lowers their throughput. The limit was 0.95 of the slots whatever the target did.

If the setting `contracts` contains `health`, the node beside the target compares two limits in alternating phases and lowers the limit only if runs at the higher one are slower. Failed responses no longer count as service time there. Without the setting, the limit and the service time are as before. The run, the service time and the silence detection of the runner have modules of their own.

--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -73,6 +73,7 @@
             latencies: this.latencies,
             log: options.log,
             protocol: options.protocol,
+            learnsCapacity: options.learnsCapacity,
             entryCutoffOf: service => this.forwarder.entryCutoffOf(service),
         });
         this.localTarget = new LocalTarget({
--- a/src/mesh/nodeOptions.ts
+++ b/src/mesh/nodeOptions.ts
@@ -20,6 +20,8 @@
     readonly peer: HostPort;
     readonly target: HostPort;
     readonly retryBudget: RetryBudgetOptions;
+    /** Whether the concurrency limit of the target is learned from its service times. */
+    readonly learnsCapacity: boolean;
     /** Time in ms from the stop signal until the process is killed. */
     readonly graceMs: number;
     readonly store: ControlStore;
--- a/src/mesh/runLog.ts
+++ b/src/mesh/runLog.ts
@@ -45,6 +45,10 @@
         this.logDecision("run-cancelled", run, this.fields(run, now));
     }
 
+    limitChanged(limit: number, previous: number, target: string | undefined): void {
+        this.log.event("limit-learned", { target, limit, previous });
+    }
+
     private logDecision(kind: string, run: LoggedRun, fields: LogFields): void {
         if (run.isTraced) this.log.traceStep(kind, fields);
         else this.log.event(kind, fields);
--- a/src/mesh/runner.ts
+++ b/src/mesh/runner.ts
@@ -4,18 +4,22 @@
  */
 import { CutoffController } from "../policy/cutoffController.ts";
 import { PriorityQueue } from "../policy/priorityQueue.ts";
-import type { QueueItem } from "../policy/priorityQueue.ts";
-import type { CallTally, RouteCalls } from "../policy/routeCalls.ts";
+import type { RouteCalls } from "../policy/routeCalls.ts";
+import { ServiceTime } from "../policy/serviceTime.ts";
+import { TargetCapacity } from "../policy/targetCapacity.ts";
 import { steadyNow } from "./clock.ts";
 import type { Counters } from "./counters.ts";
 import { CrashDetector } from "./crashDetector.ts";
 import type { CrashGuard } from "./crashGuard.ts";
 import type { EventLog } from "./eventLog.ts";
 import type { LatencySamples } from "./latencySamples.ts";
+import { createRun } from "./run.ts";
+import type { Run, RunListener } from "./run.ts";
 import { RunLog } from "./runLog.ts";
 import { toOutcome } from "./runOutcome.ts";
+import { SILENCE_TIMEOUT_MS, SilenceDetector } from "./silenceDetector.ts";
 import { TargetConnectionPool } from "./targetConnectionPool.ts";
-import type { ExchangeResult, TargetConnectionPoolOptions, TargetExchange } from "./targetConnectionPool.ts";
+import type { ExchangeResult, TargetConnectionPoolOptions } from "./targetConnectionPool.ts";
 import { isSameStart } from "./targetRecords.ts";
 import { encodeTargetRequest } from "./targetRequest.ts";
 import type {
@@ -27,26 +31,7 @@
     TargetRecord,
 } from "./types.ts";
 
-export interface RunListener {
-    onDone(outcome: Outcome): void;
-    /** Called when the target has completed no response for a while. The run is still in progress. */
-    onSilent(): void;
-}
-
-export interface Run extends QueueItem {
-    readonly req: ForwardedRequest;
-    readonly isTraced: boolean;
-    readonly arrivedAt: number;
-    readonly deadlineAt: number;
-    readonly listener: RunListener;
-    /** When the run got a slot; 0 while it waits in the queue. `exchange` is set at the same time. */
-    startedAt: number;
-    exchange: TargetExchange | undefined;
-    isDone: boolean;
-    isSilenceReported: boolean;
-    /** The calls that the target has made while it ran the request; `undefined` if there are none. */
-    calls: CallTally | undefined;
-}
+export type { Run, RunListener } from "./run.ts";
 
 export interface RunnerOptions extends TargetConnectionPoolOptions {
     readonly counters: Counters;
@@ -56,27 +41,20 @@
     readonly entryCutoffOf: (service: string) => number;
     readonly crashGuard: Pick<CrashGuard, "onCrash" | "onAnswered">;
     readonly routeCalls: Pick<RouteCalls, "observe">;
+    /** Whether the concurrency limit is learned from the service times; otherwise, it follows from the slots alone. */
+    readonly learnsCapacity: boolean;
 }
 
 /** Share of the announced slots that is used. A full target slows down, and its health checks need a slot too. */
 const SLOT_UTILIZATION = 0.95;
-const SERVICE_TIME_SMOOTHING = 0.05;
 /** How long runs are refused after a connection to the target has failed. A heartbeat ends this time early. */
 const UNREACHABLE_BACKOFF_MS = 300;
-/** A busy target counts as silent if it completes no response for this time and for this many service times. */
-const SILENCE_TIMEOUT_MS = 700;
-const SILENCE_SERVICE_TIMES = 6;
-/** A silent target is sent at most one new run per interval, to find out whether it responds again. */
-const TRIAL_INTERVAL_MS = 300;
 /** Response timeout of a health check. After a failed check, `MeshNode` waits for the target's next heartbeat. */
 const HEALTH_CHECK_TIMEOUT_MS = 2000;
 /** How long after its deadline a run without a response is aborted. */
 const OVERDUE_GRACE_MS = 400;
 /** The target's deadline is earlier by this time, so that its timeout response arrives before the run's deadline. */
 const DEADLINE_MARGIN_MS = 12;
-/** Weight of the failure rate in the reported service time: at 10% failures, it is 1.8 times the measured one. */
-const FAILURE_RATE_PENALTY = 8;
-const FAILURE_RATE_SMOOTHING = 0.04;
 
 export class Runner {
     private readonly cutoffController = new CutoffController();
@@ -86,13 +64,13 @@
     private readonly crashDetector: CrashDetector;
     private readonly counters: Counters;
     private readonly log: RunLog;
+    /** `undefined` if the concurrency limit is not learned. */
+    readonly capacity: TargetCapacity | undefined;
     private target: TargetRecord | undefined;
     private slotsInUse = 0;
-    private serviceMs = 0;
-    private failureRate = 0;
+    private readonly serviceTime: ServiceTime;
+    private readonly silence = new SilenceDetector();
     private unreachableUntil = 0;
-    private lastProgressAt = 0;
-    private lastTrialAt = 0;
     private expiryTimer: NodeJS.Timeout | undefined;
 
     constructor(private readonly options: RunnerOptions) {
@@ -102,11 +80,24 @@
             onCrash: requests => options.crashGuard.onCrash(requests),
         });
         this.counters = options.counters;
+        this.serviceTime = new ServiceTime(options);
+        if (options.learnsCapacity) {
+            this.capacity = new TargetCapacity({
+                rand: Math.random,
+                onLimitChange: (limit, previous) => this.log.limitChanged(limit, previous, this.target?.id),
+            });
+        }
         this.log = new RunLog(options.log, () => this.loadReport(0)); // Its version is not logged.
     }
 
     get limit(): number {
-        return this.target === undefined ? 0 : Math.max(1, Math.floor(this.target.slots * SLOT_UTILIZATION));
+        if (this.target === undefined) return 0;
+        return this.capacity?.limit ?? maxLimitOf(this.target);
+    }
+
+    /** Whether the concurrency limit is learned. */
+    get learnsCapacity(): boolean {
+        return this.capacity !== undefined;
     }
 
     get activeCount(): number {
@@ -128,7 +119,7 @@
             running: this.slotsInUse,
             queued: this.queue.length,
             limit: this.limit,
-            serviceMs: this.serviceMs * (1 + FAILURE_RATE_PENALTY * this.failureRate),
+            serviceMs: this.serviceTime.reportedMs,
             configVersion,
         };
     }
@@ -140,6 +131,7 @@
             && !isSameStart(target, this.target);
         this.target = target;
         if (isOtherTarget) this.resetTargetState();
+        if (target !== undefined) this.capacity?.setSlots(target.slots, maxLimitOf(target), isOtherTarget);
         if (isNewStart) this.crashDetector.onTargetEnded();
         this.unreachableUntil = 0;
         if (target === undefined || target.state !== "ready") this.refuseQueued("draining");
@@ -148,23 +140,10 @@
 
     submit(req: ForwardedRequest, listener: RunListener): Run {
         const now = steadyNow();
-        const run: Run = {
-            req,
-            isTraced: this.options.log.isTraced(req.requestId),
-            level: req.level,
-            arrivedAt: now,
-            deadlineAt: now + req.leftMs,
-            expiresAt: now + Math.min(req.maxQueueMs, req.leftMs),
-            listener,
-            startedAt: 0,
-            exchange: undefined,
-            isDone: false,
-            isSilenceReported: false,
-            calls: undefined,
-        };
+        const run = createRun(req, listener, this.options.log.isTraced(req.requestId), now);
         const refusal = this.checkAdmission(run, now);
         if (refusal !== undefined) this.refuse(run, refusal);
-        else if (this.slotsInUse < this.limit && this.queue.length === 0) this.start(run, now);
+        else if (this.hasSlotFor(run) && this.queue.length === 0) this.start(run, now);
         else this.enqueue(run, now);
         return run;
     }
@@ -211,6 +190,7 @@
             this.queue.length / limit,
             this.options.entryCutoffOf(this.target?.service ?? ""),
         );
+        this.capacity?.tick(now, this.slotsInUse, this.queue.length, this.serviceTime.ms);
         this.pool.closeStale(now);
         this.abortOverdueRuns(now);
         this.reportSilence(now);
@@ -223,9 +203,8 @@
     }
 
     private resetTargetState(): void {
-        this.serviceMs = 0;
-        this.failureRate = 0;
-        this.lastProgressAt = steadyNow();
+        this.serviceTime.reset();
+        this.silence.recordProgress(steadyNow());
         this.pool.closeIdle();
     }
 
@@ -234,7 +213,8 @@
         if (target === undefined || target.state === "gone") return "no-target";
         if (target.state === "draining") return "draining";
         if (target.service !== run.req.service) return "wrong-service";
-        if (now < this.unreachableUntil || this.refuseUnlessTrial(now)) return "target-down";
+        if (now < this.unreachableUntil) return "target-down";
+        if (this.isSilent(now) && !this.silence.takeTrial(now)) return "target-down";
         if (run.req.leftMs <= DEADLINE_MARGIN_MS) return "deadline";
         this.cutoffController.recordArrival(run.level);
         if (!run.req.isNested && !this.cutoffController.isAdmitted(run.level)) return "overload";
@@ -243,7 +223,7 @@
 
     private enqueue(run: Run, now: number): void {
         const ahead = this.queue.countAhead(run.level);
-        const expectedWaitMs = (ahead + 1) * this.serviceMs / Math.max(1, this.limit);
+        const expectedWaitMs = (ahead + 1) * this.serviceTime.ms / Math.max(1, this.limit);
         if (now + expectedWaitMs > run.expiresAt) {
             this.cutoffController.recordUnserved();
             this.refuse(run, "overload");
@@ -279,16 +259,30 @@
 
     private startQueued(): void {
         const now = steadyNow();
-        while (this.slotsInUse < this.limit && this.queue.length > 0) {
-            const run = this.queue.shift(now, expired => this.expire(expired));
-            if (run !== undefined) this.start(run, now);
+        const onExpired = (expired: Run) => this.expire(expired);
+        while (this.queue.length > 0 && this.slotsInUse < this.limitFor(true)) {
+            const next = this.queue.peek(now, onExpired);
+            if (next === undefined || !this.hasSlotFor(next)) return;
+            this.start(this.queue.shift(now, onExpired)!, now);
         }
     }
 
+    private hasSlotFor(run: Run): boolean {
+        return this.slotsInUse < this.limitFor(run.req.isIdempotent);
+    }
+
+    private limitFor(isIdempotent: boolean): number {
+        return this.target === undefined ? 0 : this.capacity?.limitFor(isIdempotent) ?? this.limit;
+    }
+
     private start(run: Run, now: number): void {
         const target = this.target!;
-        if (this.slotsInUse === 0) this.lastProgressAt = now;
-        this.slotsInUse++;
+        if (this.slotsInUse === 0) this.silence.recordProgress(now);
+        run.concurrencyAtStart = ++this.slotsInUse;
+        if (this.capacity !== undefined) {
+            run.capacityPhase = this.capacity.phaseId;
+            this.capacity.recordStart(this.slotsInUse);
+        }
         this.cutoffController.recordStart(now - run.arrivedAt);
         this.counters.runsStarted++;
         this.counters.runsWaitedMs += now - run.arrivedAt;
@@ -312,7 +306,6 @@
     private onResult(run: Run, result: ExchangeResult): void {
         if (run.isDone) return;
         const now = steadyNow();
-        if (result.kind === "response") this.recordResponse(run, now, result.head.notExecuted);
         const isLost = result.kind === "lost" && result.reason === "connection-lost";
         if (isLost && this.target?.state === "ready") this.crashDetector.onConnectionLost(run.req);
         if (result.kind === "unreachable") {
@@ -324,19 +317,21 @@
         }
         const outcome = toOutcome(result, run.req.isIdempotent);
         const hasFailed = outcome.kind !== "answer" || outcome.status >= 500;
-        this.failureRate += FAILURE_RATE_SMOOTHING * ((hasFailed ? 1 : 0) - this.failureRate);
+        if (result.kind === "response") this.recordResponse(run, now, result.head.notExecuted, hasFailed);
+        this.serviceTime.recordOutcome(hasFailed);
         this.finish(run, outcome, result.kind === "lost" ? result.detail : undefined);
     }
 
-    private recordResponse(run: Run, now: number, isNotExecuted: boolean): void {
-        this.lastProgressAt = now;
+    private recordResponse(run: Run, now: number, isNotExecuted: boolean, hasFailed: boolean): void {
+        this.silence.recordProgress(now);
         if (isNotExecuted) return;
         this.options.crashGuard.onAnswered(run.req);
         const elapsedMs = now - run.startedAt;
         this.options.latencies.record("target", elapsedMs);
-        this.serviceMs = this.serviceMs === 0
-            ? elapsedMs
-            : this.serviceMs + SERVICE_TIME_SMOOTHING * (elapsedMs - this.serviceMs);
+        this.serviceTime.recordResponse(elapsedMs, hasFailed, now);
+        // The time of a run that made calls depends on other targets, too.
+        if (this.capacity === undefined || hasFailed || run.calls !== undefined) return;
+        this.capacity.record(run.req.route, elapsedMs, run.concurrencyAtStart, run.capacityPhase, now);
     }
 
     private finish(run: Run, outcome: Outcome, detail?: string): void {
@@ -370,18 +365,8 @@
         this.finish(run, { kind: "unknown", reason });
     }
 
-    /** Returns whether to refuse a run because the target is silent. Lets one run per interval pass as the trial. */
-    private refuseUnlessTrial(now: number): boolean {
-        if (!this.isSilent(now)) return false;
-        if (now - this.lastTrialAt < TRIAL_INTERVAL_MS) return true;
-        this.lastTrialAt = now;
-        return false;
-    }
-
     private isSilent(now: number): boolean {
-        if (this.slotsInUse === 0) return false;
-        return now - this.lastProgressAt
-            > Math.max(SILENCE_TIMEOUT_MS, SILENCE_SERVICE_TIMES * this.serviceMs);
+        return this.slotsInUse > 0 && this.silence.isSilent(now, this.serviceTime.ms);
     }
 
     /** Refuses queued runs. Sent runs continue, since they may complete; callers may hedge idempotent ones. */
@@ -397,3 +382,7 @@
         }
     }
 }
+
+function maxLimitOf(target: TargetRecord): number {
+    return Math.max(1, Math.floor(target.slots * SLOT_UTILIZATION));
+}
--- a/src/policy/priorityQueue.ts
+++ b/src/policy/priorityQueue.ts
@@ -47,6 +47,20 @@
         return undefined;
     }
 
+    /** Returns the next request to start; removes expired ones before it and passes them to `onExpired`. */
+    peek(now: number, onExpired: (item: T) => void): T | undefined {
+        for (const items of this.itemsByPriority) {
+            while (items.length > 0) {
+                const item = items[0]!;
+                if (item.expiresAt > now) return item;
+                items.shift();
+                this.count--;
+                onExpired(item);
+            }
+        }
+        return undefined;
+    }
+
     /** Removes a request; returns false if it is not in the queue. */
     remove(item: T): boolean {
         const items = this.itemsByPriority[priorityOf(item.level)]!;
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -54,6 +54,15 @@
         });
     });
 
+    // Guards against a node that learns limits in a deployment that has not asked for it.
+    it("learns the capacity of the target only if the settings list the contract for it", () => {
+        const learnsCapacity = (line: string) =>
+            parseSettings(`${line}\n${SETTINGS}`, "s.toml").learnsCapacity;
+        expect(learnsCapacity("")).to.equal(false);
+        expect(learnsCapacity("contracts = [\"quota\"]")).to.equal(false);
+        expect(learnsCapacity("contracts = [\"quota\", \"health\"]")).to.equal(true);
+    });
+
     it("parses the prefixes of traced request ids and rejects invalid ones", () => {
         expect(parseTracedIdPrefixes("", "V")).to.deep.equal([]);
         expect(parseTracedIdPrefixes("9c41, a-b.1", "V")).to.deep.equal(["9c41", "a-b.1"]);
--- a/test/support/meshFixtures.ts
+++ b/test/support/meshFixtures.ts
@@ -95,10 +95,11 @@
 
 /** A runner for a target at a loopback port, which is ready with id `i` and service `s`. */
 export function makeRunner(
-    { port, slots, write = () => undefined }: {
+    { port, slots, write = () => undefined, learnsCapacity = false }: {
         readonly port: number;
         readonly slots: number;
         readonly write?: (line: string) => void;
+        readonly learnsCapacity?: boolean;
     },
 ): Runner {
     const runner = new Runner({
@@ -111,6 +112,7 @@
         entryCutoffOf: () => 1023,
         crashGuard: { onCrash: () => undefined, onAnswered: () => undefined },
         routeCalls: { observe: () => undefined },
+        learnsCapacity,
     });
     runner.setTarget({ id: "i", service: "s", state: "ready", slots, bornAt: 1 });
     return runner;
--- a/test/support/platformMesh.ts
+++ b/test/support/platformMesh.ts
@@ -169,6 +169,7 @@
             retryRatio: 0.2,
             retrySlack: 48,
             retryWindowMs: 10_000,
+            learnsCapacity: false,
         };
     }
 }
