Do not explore targets with unsafe requests

A node ignored a report after 2 s, so a slow or failing target then got a normal share of the requests of each node again, whatever their kind. With learned capacity, unsafe requests remember a slow report, and idempotent ones explore with one request per node at a time.

The overload simulation gets slow phases, failures, data centres and learned limits; its targets move to a module of their own.

--- a/src/mesh/dispatcher.ts
+++ b/src/mesh/dispatcher.ts
@@ -3,6 +3,7 @@
  * node, and records the load that the node reports with the outcome.
  */
 import { chooseTarget } from "../policy/loadBalancer.ts";
+import type { StaleReportPolicy } from "../policy/loadBalancer.ts";
 import { shouldAvoidTarget } from "./call.ts";
 import type { Call } from "./call.ts";
 import type { CallLog } from "./callLog.ts";
@@ -54,7 +55,7 @@
         for (const node of this.options.directory.nodesOfService(call.service)) {
             if (node.isUsable && !call.triedNodes.includes(node)) candidates.push(node);
         }
-        const index = chooseTarget(candidates, now, this.options.rand);
+        const index = chooseTarget(candidates, now, this.options.rand, this.staleReportPolicy(call));
         if (index < 0) return false;
         const node = candidates[index]!;
         call.triedNodes.push(node);
@@ -90,6 +91,11 @@
         return true;
     }
 
+    private staleReportPolicy({ route }: Call): StaleReportPolicy {
+        if (!this.options.runner.learnsCapacity) return "ignore";
+        return route.isIdempotent ? "explore" : "remember";
+    }
+
     /** Whether a usable target is left that the call has not tried yet. Checked before the retry budget is spent. */
     hasUntriedTarget(call: Call): boolean {
         return this.options.directory.nodesOfService(call.service)
--- a/src/policy/loadBalancer.ts
+++ b/src/policy/loadBalancer.ts
@@ -26,6 +26,14 @@
     readonly avoidUntil: number;
 }
 
+/**
+ * What to assume of a target whose latest report is old. `ignore`: the mean service time of the others. The other two
+ * concern a target that was slower than the mean: it gets few requests, so its report is old although nothing has
+ * changed. `explore`: each node sends it one request at a time to find out, as for idempotent requests. `remember`: the
+ * reported service time approaches the mean slowly, as for requests that must not be used for exploration.
+ */
+export type StaleReportPolicy = "ignore" | "explore" | "remember";
+
 /** Service time to assume while no target of the service has reported its own recently. */
 const DEFAULT_SERVICE_TIME_MS = 40;
 /**
@@ -51,6 +59,12 @@
  */
 const REPORT_MAX_AGE_MS = 2000;
 
+/**
+ * Time in which a remembered difference from the mean service time halves. A target that was twice as slow because it
+ * was cold is as good as others for `remember` after a few seconds, one that was five times as slow after about 12 s.
+ */
+const REMEMBERED_HALF_LIFE_MS = 5000;
+
 /**
  * Expected latency in ms of a request at a target; `fallbackServiceMs` is used if the target has not reported its
  * service time recently.
@@ -59,15 +73,28 @@
     candidate: Candidate,
     now: number,
     fallbackServiceMs = DEFAULT_SERVICE_TIME_MS,
+    staleReports: StaleReportPolicy = "ignore",
 ): number {
-    const { report } = candidate;
-    const isFresh = report !== undefined && report.serviceMs > 0
-        && now - candidate.reportedAt < REPORT_MAX_AGE_MS;
-    const serviceMs = isFresh ? report.serviceMs : fallbackServiceMs;
+    const serviceMs = expectedServiceMs(candidate, now, fallbackServiceMs, staleReports);
     const excessUtilization = Math.max(0, utilizationOf(candidate, now) - SATURATION_UTILIZATION);
     return serviceMs * (1 + excessUtilization * QUEUEING_DELAY_FACTOR);
 }
 
+function expectedServiceMs(
+    { report, reportedAt, inFlight }: Candidate,
+    now: number,
+    fallbackServiceMs: number,
+    staleReports: StaleReportPolicy,
+): number {
+    if (report === undefined || report.serviceMs <= 0) return fallbackServiceMs;
+    const staleMs = now - reportedAt - REPORT_MAX_AGE_MS;
+    if (staleMs < 0) return report.serviceMs;
+    const differenceMs = report.serviceMs - fallbackServiceMs;
+    if (staleReports === "ignore" || differenceMs <= 0) return fallbackServiceMs;
+    if (staleReports === "explore") return inFlight === 0 ? fallbackServiceMs : report.serviceMs;
+    return fallbackServiceMs + differenceMs * 2 ** (-staleMs / REMEMBERED_HALF_LIFE_MS);
+}
+
 /** Share of the slots that would be in use with one more request; above 1, the request has to queue. */
 function utilizationOf(candidate: Candidate, now: number): number {
     return (estimatedInFlightOf(candidate, now) + 1)
@@ -90,13 +117,18 @@
  * Returns the index of the chosen candidate, or -1 if there are no candidates. `rand` returns numbers in [0, 1). This
  * function is called for every attempt, so it reuses arrays of indexes instead of allocating new ones.
  */
-export function chooseTarget(candidates: readonly Candidate[], now: number, rand: () => number): number {
+export function chooseTarget(
+    candidates: readonly Candidate[],
+    now: number,
+    rand: () => number,
+    staleReports: StaleReportPolicy = "ignore",
+): number {
     const eligible = eligibleIndexes(candidates, now);
     if (eligible.length <= 1) return eligible[0] ?? -1;
     const fallbackServiceMs = meanServiceMs(candidates, eligible, now);
     let lowestMs = Infinity;
     for (const index of eligible) {
-        const latencyMs = expectedLatencyMs(candidates[index]!, now, fallbackServiceMs);
+        const latencyMs = expectedLatencyMs(candidates[index]!, now, fallbackServiceMs, staleReports);
         latenciesMs[index] = latencyMs;
         if (latencyMs < lowestMs) lowestMs = latencyMs;
     }
--- a/test/support/overloadSimulation.ts
+++ b/test/support/overloadSimulation.ts
@@ -7,14 +7,13 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import TinyQueue from "tinyqueue";
 import { levelOf } from "../../src/policy/admissionLevel.ts";
-import { CutoffController } from "../../src/policy/cutoffController.ts";
 import { EntryCutoffs } from "../../src/policy/entryCutoff.ts";
 import { chooseTarget } from "../../src/policy/loadBalancer.ts";
-import type { Candidate } from "../../src/policy/loadBalancer.ts";
 import { OverloadTracker } from "../../src/policy/overloadTracker.ts";
-import { PriorityQueue } from "../../src/policy/priorityQueue.ts";
 import { retryAfterMs } from "../../src/policy/retryAfter.ts";
 import { RouteLatencies } from "../../src/policy/routeLatency.ts";
+import { SimulatedCandidate, SimulatedTarget } from "./simulatedTarget.ts";
+import type { QueuedCall, SimulatedRequest } from "./simulatedTarget.ts";
 
 export interface TrafficClass {
     readonly name: string;
@@ -25,6 +24,10 @@
     /** Latency objective. */
     readonly objectiveMs: number;
     readonly deadlineMs: number;
+    /** Defaults to true. */
+    readonly isIdempotent?: boolean;
+    /** Service time relative to `meanServiceMs`; defaults to 1. */
+    readonly serviceFactor?: number;
 }
 
 export interface SimulationOptions {
@@ -41,12 +44,39 @@
     readonly timeBetweenCallsMs?: number;
     /** Whether a refused caller retries once, after its Retry-After time. */
     readonly retriesAfterRefusal?: boolean;
+    /** Whether the limits of the targets are learned; otherwise, they are the maximum. */
+    readonly learnsCapacity?: boolean;
+    /** Maximum limit as a share of the slots; defaults to 1. */
+    readonly maxLimitShare?: number;
+    /** Number of nodes that send calls, each with its own view of the targets; defaults to 3. */
+    readonly callerNodeCount?: number;
+    /** Data centre of each target; the nodes that send calls take turns among these. By default, all are remote. */
+    readonly dataCentres?: readonly string[];
+    /** Factor on the service time of a call that starts as one of `running` at a target. */
+    readonly slowdown?: (target: number, now: number, running: number) => number;
+    /** Share of the calls to a target that fail after `FAILURE_MS`. */
+    readonly failureShare?: (target: number) => number;
+    /** Factor on the request rates. */
+    readonly rateFactor?: (now: number) => number;
+    /** Called every 100 ms. */
+    readonly onTick?: (now: number, targets: readonly TargetState[]) => void;
+}
+
+export interface TargetState {
+    readonly limit: number;
+    /** Calls of requests that are not idempotent, started so far. */
+    readonly unsafeStarts: number;
+    readonly starts: number;
 }
 
 export interface SimulationResult {
     readonly classes: ReadonlyMap<string, ClassResult>;
     /** Mean share of the slots in use after `WARM_UP_MS`, by target. */
     readonly utilizations: readonly number[];
+    /** State of the targets at the end. */
+    readonly targets: readonly TargetState[];
+    /** Share of the calls that went to another data centre. */
+    readonly remoteShare: number;
 }
 
 export interface ClassResult {
@@ -63,82 +93,16 @@
     retriedWithinObjective: number;
     /** Part of `late` that was served by a retry after a refusal. */
     retriedLate: number;
-}
-
-interface SimulatedRequest {
-    readonly trafficClass: TrafficClass;
-    readonly level: number;
-    /** Time at which the caller sent the request; for a retry, the time of the refused request. */
-    readonly firstSentAt: number;
-    readonly admittedAt: number;
-    readonly isRetry: boolean;
-    callsLeft: number;
-}
-
-interface QueuedCall {
-    readonly request: SimulatedRequest;
-    readonly level: number;
-    readonly expiresAt: number;
-    readonly arrivedAt: number;
-    /** The calling node's view of the chosen target. */
-    readonly candidate: SimulatedCandidate;
+    /** Sum of the latencies of the requests served before the deadline. */
+    latencySumMs: number;
 }
 
 const TICK_MS = 100;
 /** Time that a request takes from the entry node through the intermediate services to the bottleneck. */
 const CHAIN_DELAY_MS = 30;
-/** Number of nodes that send calls to the bottleneck, each with its own view of the targets. */
 const CALLER_NODE_COUNT = 3;
+const FAILURE_MS = 2;
 const WARM_UP_MS = 5000;
-/** Weight of a new sample in the smoothed service time that a target reports. */
-const SERVICE_TIME_SMOOTHING = 0.05;
-
-class SimulatedTarget {
-    readonly isUsable = true;
-    readonly cutoffController = new CutoffController();
-    readonly queue = new PriorityQueue<QueuedCall>();
-    running = 0;
-    serviceMs = 0;
-    busySlotMs = 0;
-
-    constructor(readonly speed: number, private readonly slots: number) {}
-
-    get cutoff(): number {
-        return this.cutoffController.cutoff;
-    }
-
-    get report(): { readonly limit: number; readonly serviceMs: number; } {
-        return { limit: this.slots, serviceMs: this.serviceMs };
-    }
-}
-
-/** One calling node's view of one target. */
-class SimulatedCandidate implements Candidate {
-    readonly isSelf = false;
-    readonly isInLocalDataCentre = false;
-    readonly avoidUntil = 0;
-    inFlight = 0;
-    inFlightAtReport = 0;
-    report: Candidate["report"];
-    reportedAt = 0;
-
-    constructor(readonly target: SimulatedTarget, readonly slots: number) {}
-
-    onResponse(now: number): void {
-        const { cutoffController, running, queue, serviceMs } = this.target;
-        this.inFlight--;
-        this.inFlightAtReport = this.inFlight;
-        this.reportedAt = now;
-        this.report = {
-            cutoff: cutoffController.cutoff,
-            running,
-            queued: queue.length,
-            limit: this.slots,
-            serviceMs,
-            configVersion: 1,
-        };
-    }
-}
 
 export function simulateOverload(options: SimulationOptions): SimulationResult {
     return new Simulation(options).execute();
@@ -156,13 +120,26 @@
     private readonly generator;
     private now = 0;
     private lastId = 0;
+    private remoteCalls = 0;
 
     constructor(private readonly options: SimulationOptions) {
         this.generator = xoroshiro128plus(options.seed);
-        this.targets = options.speeds.map(speed => new SimulatedTarget(speed, options.slots));
+        const maxLimit = Math.floor(options.slots * (options.maxLimitShare ?? 1));
+        this.targets = options.speeds.map((speed, index) =>
+            new SimulatedTarget(index, speed, maxLimit, options)
+        );
+        const { dataCentres } = options;
         this.candidatesByCallerNode = Array.from(
-            { length: CALLER_NODE_COUNT },
-            () => this.targets.map(target => new SimulatedCandidate(target, options.slots)),
+            { length: options.callerNodeCount ?? CALLER_NODE_COUNT },
+            (_, node) =>
+                this.targets.map(target =>
+                    new SimulatedCandidate(
+                        target,
+                        options.slots,
+                        dataCentres !== undefined
+                            && dataCentres[target.index] === dataCentres[node % dataCentres.length],
+                    )
+                ),
         );
         this.entryCutoffs = new EntryCutoffs(() => this.targets);
     }
@@ -177,11 +154,9 @@
                 failed: 0,
                 retriedWithinObjective: 0,
                 retriedLate: 0,
+                latencySumMs: 0,
             });
-            this.schedule(
-                this.interarrivalMs(trafficClass.requestsPerSecond),
-                () => this.onArrival(trafficClass),
-            );
+            this.scheduleArrival(trafficClass);
         }
         this.schedule(TICK_MS, () => this.tick());
         for (let next = this.events.pop(); next !== undefined; next = this.events.pop()) {
@@ -192,7 +167,9 @@
         const utilizations = this.targets.map(({ busySlotMs }) =>
             busySlotMs / (measuredMs * this.options.slots)
         );
-        return { classes: this.results, utilizations };
+        const calls = this.targets.reduce((sum, { starts }) => sum + starts, 0);
+        const remoteShare = this.remoteCalls / calls;
+        return { classes: this.results, utilizations, targets: this.targets, remoteShare };
     }
 
     /** Whether requests have stopped arriving; those in progress are still completed. */
@@ -213,12 +190,14 @@
         return -Math.log(this.nextRandom()) * 1000 / requestsPerSecond;
     }
 
+    private scheduleArrival(trafficClass: TrafficClass): void {
+        const rate = trafficClass.requestsPerSecond * (this.options.rateFactor?.(this.now) ?? 1);
+        this.schedule(this.interarrivalMs(rate), () => this.onArrival(trafficClass));
+    }
+
     private onArrival(trafficClass: TrafficClass): void {
         if (this.haveArrivalsEnded) return;
-        this.schedule(
-            this.interarrivalMs(trafficClass.requestsPerSecond),
-            () => this.onArrival(trafficClass),
-        );
+        this.scheduleArrival(trafficClass);
         this.results.get(trafficClass.name)!.offered++;
         this.submit(trafficClass, this.now, false);
     }
@@ -256,11 +235,11 @@
 
     private sendCall(request: SimulatedRequest): void {
         // The factor 0.999_999 keeps random numbers below 1, so that an index is never out of range.
-        const candidates = this
-            .candidatesByCallerNode[Math.floor(this.nextRandom() * 0.999_999 * CALLER_NODE_COUNT)]!;
-        const candidate =
-            candidates[chooseTarget(candidates, this.now, () => this.nextRandom() * 0.999_999)]!;
+        const nodes = this.candidatesByCallerNode;
+        const candidates = nodes[Math.floor(this.nextRandom() * 0.999_999 * nodes.length)]!;
+        const candidate = candidates[this.chooseTarget(candidates, request)]!;
         const { target } = candidate;
+        if (!candidate.isInLocalDataCentre) this.remoteCalls++;
         const leftMs = request.firstSentAt + request.trafficClass.deadlineMs - this.now;
         // A nested call may wait for a slot for 0.6 of the time left, as in the dispatcher of the mesh.
         const queuedCall = {
@@ -272,31 +251,56 @@
         };
         candidate.inFlight++;
         target.cutoffController.recordArrival(request.level);
-        if (target.running < this.options.slots && target.queue.length === 0) {
-            this.startCall(target, queuedCall);
-        }
+        if (target.hasSlotFor(queuedCall) && target.queue.length === 0) this.startCall(target, queuedCall);
         else target.queue.push(queuedCall);
     }
 
+    private chooseTarget(
+        candidates: readonly SimulatedCandidate[],
+        { trafficClass }: SimulatedRequest,
+    ): number {
+        const policy = this.options.learnsCapacity !== true
+            ? "ignore"
+            : trafficClass.isIdempotent === false
+            ? "remember"
+            : "explore";
+        return chooseTarget(candidates, this.now, () => this.nextRandom() * 0.999_999, policy);
+    }
+
     private startCall(target: SimulatedTarget, queuedCall: QueuedCall): void {
-        target.running++;
+        const { trafficClass } = queuedCall.request;
+        const running = ++target.running;
+        const phaseId = target.capacity?.phaseId ?? 0;
+        target.capacity?.recordStart(running);
+        target.starts++;
+        if (trafficClass.isIdempotent === false) target.unsafeStarts++;
         target.cutoffController.recordStart(this.now - queuedCall.arrivedAt);
-        const serviceMs = this.options.meanServiceMs / target.speed * (0.5 + this.nextRandom());
+        const { meanServiceMs, slowdown, failureShare } = this.options;
+        const factor = (trafficClass.serviceFactor ?? 1) * (slowdown?.(target.index, this.now, running) ?? 1);
+        const hasFailed = failureShare !== undefined && this.nextRandom() <= failureShare(target.index);
+        const serviceMs = hasFailed
+            ? FAILURE_MS
+            : meanServiceMs / target.speed * factor * (0.5 + this.nextRandom());
         this.schedule(serviceMs, () => {
             target.running--;
-            target.serviceMs = target.serviceMs === 0
-                ? serviceMs
-                : target.serviceMs + SERVICE_TIME_SMOOTHING * (serviceMs - target.serviceMs);
+            target.serviceTime.recordResponse(serviceMs, hasFailed, this.now);
+            target.serviceTime.recordOutcome(hasFailed);
+            if (!hasFailed) target.capacity?.record(trafficClass.name, serviceMs, running, phaseId, this.now);
             if (this.now > WARM_UP_MS && !this.haveArrivalsEnded) target.busySlotMs += serviceMs;
-            this.startNextCall(target);
+            this.startNextCalls(target);
             queuedCall.candidate.onResponse(this.now);
-            this.finishCall(queuedCall.request);
+            if (hasFailed) this.results.get(trafficClass.name)!.failed++;
+            else this.finishCall(queuedCall.request);
         });
     }
 
-    private startNextCall(target: SimulatedTarget): void {
-        const next = target.queue.shift(this.now, queuedCall => this.expireCall(target, queuedCall));
-        if (next !== undefined) this.startCall(target, next);
+    private startNextCalls(target: SimulatedTarget): void {
+        const onExpired = (queuedCall: QueuedCall) => this.expireCall(target, queuedCall);
+        for (;;) {
+            const next = target.queue.peek(this.now, onExpired);
+            if (next === undefined || !target.hasSlotFor(next)) return;
+            this.startCall(target, target.queue.shift(this.now, onExpired)!);
+        }
     }
 
     private expireCall(target: SimulatedTarget, queuedCall: QueuedCall): void {
@@ -313,6 +317,7 @@
         const result = this.results.get(request.trafficClass.name)!;
         this.latencies.record(request.trafficClass.name, this.now - request.admittedAt);
         const latencyMs = this.now - request.firstSentAt;
+        if (latencyMs <= request.trafficClass.deadlineMs) result.latencySumMs += latencyMs;
         if (latencyMs <= request.trafficClass.objectiveMs) {
             result.withinObjective++;
             if (request.isRetry) result.retriedWithinObjective++;
@@ -333,7 +338,10 @@
                 target.queue.length / this.options.slots,
                 this.entryCutoffs.cutoffOf("bottleneck", this.now),
             );
+            target.capacity?.tick(this.now, target.running, target.queue.length, target.serviceTime.ms);
+            // A higher limit takes effect with the next response or arrival, as in the runner.
         }
+        this.options.onTick?.(this.now, this.targets);
         if (!this.haveArrivalsEnded) this.schedule(TICK_MS, () => this.tick());
     }
 }
