Compare limits at the runs near them, and find recovered targets sooner

Runs that start at the lower end of a high phase diluted the difference, and the knee and peak limits shared the step, so that one of them overshot.

--- a/src/policy/kneeSigns.ts
+++ b/src/policy/kneeSigns.ts
@@ -4,7 +4,7 @@
  * alone is no evidence of a knee: when a target becomes slow, its concurrency rises, too.
  */
 const TICKS_PER_WINDOW = 2;
-const NEAR_LIMIT_SHARE = 0.94;
+const NEAR_LIMIT_SHARE = 0.97;
 /** Runs with a concurrency between the two shares are left out, since they overlap with both kinds. */
 const MODERATE_SHARE = 0.85;
 const MIN_SAMPLES = 5;
@@ -46,11 +46,21 @@
             this.slowdown += SMOOTHING * (slowdown - this.slowdown);
             this.windows++;
         }
-        this.nearSum =
-            this.nearCount =
-            this.moderateSum =
-            this.moderateCount =
-                0;
+        this.clearWindow();
+    }
+
+    /** Forgets what was seen, since the limit has changed. */
+    clear(): void {
+        this.slowdown = 0;
+        this.windows = 0;
+        this.clearWindow();
+    }
+
+    private clearWindow(): void {
+        this.nearSum = 0;
+        this.nearCount = 0;
+        this.moderateSum = 0;
+        this.moderateCount = 0;
     }
 
     /** `isEvidenceRequired`: whether a trial is made only if the comparison has been possible. */
--- a/src/policy/limitTrial.ts
+++ b/src/policy/limitTrial.ts
@@ -82,7 +82,10 @@
     record(phaseId: number, relativeTime: number, concurrency: number): void {
         for (const phase of this.phases) {
             if (phase.id !== phaseId) continue;
-            const minConcurrency = phase.isHigh ? this.low + 1 : this.low * MIN_CONCURRENCY_SHARE;
+            // A run at the lower end of a high phase says little about the higher limit.
+            const minConcurrency = phase.isHigh
+                ? (this.low + this.high + 1) / 2
+                : this.low * MIN_CONCURRENCY_SHARE;
             if (concurrency < minConcurrency) return;
             phase.sum += relativeTime;
             phase.count++;
--- a/src/policy/loadBalancer.ts
+++ b/src/policy/loadBalancer.ts
@@ -59,6 +59,12 @@
  */
 const REPORT_MAX_AGE_MS = 2000;
 
+/**
+ * Maximum time between two explorations of a slow target by a node. The interval is proportional to how much slower the
+ * target was, since an exploration costs its caller that much; with an interval of 2 s for all, 65 nodes that send few
+ * requests each spent a tenth of them on exploration.
+ */
+const MAX_EXPLORATION_INTERVAL_MS = 4000;
 /**
  * Time in which a remembered difference from the mean service time halves. A target that was twice as slow because it
  * was cold is as good as others for `remember` after a few seconds, one that was five times as slow after about 12 s.
@@ -87,12 +93,23 @@
     staleReports: StaleReportPolicy,
 ): number {
     if (report === undefined || report.serviceMs <= 0) return fallbackServiceMs;
-    const staleMs = now - reportedAt - REPORT_MAX_AGE_MS;
-    if (staleMs < 0) return report.serviceMs;
-    const differenceMs = report.serviceMs - fallbackServiceMs;
-    if (staleReports === "ignore" || differenceMs <= 0) return fallbackServiceMs;
-    if (staleReports === "explore") return inFlight === 0 ? fallbackServiceMs : report.serviceMs;
-    return fallbackServiceMs + differenceMs * 2 ** (-staleMs / REMEMBERED_HALF_LIFE_MS);
+    const ageMs = now - reportedAt;
+    if (ageMs < REPORT_MAX_AGE_MS) return report.serviceMs;
+    switch (staleReports) {
+        case "ignore":
+            return fallbackServiceMs;
+        case "explore": {
+            if (report.serviceMs <= fallbackServiceMs) return report.serviceMs;
+            const intervalMs = REPORT_MAX_AGE_MS * report.serviceMs / fallbackServiceMs;
+            const isDue = inFlight === 0 && ageMs >= Math.min(MAX_EXPLORATION_INTERVAL_MS, intervalMs);
+            return isDue ? fallbackServiceMs : report.serviceMs;
+        }
+        case "remember": {
+            const differenceMs = Math.max(0, report.serviceMs - fallbackServiceMs);
+            const weight = 2 ** (-(ageMs - REPORT_MAX_AGE_MS) / REMEMBERED_HALF_LIFE_MS);
+            return Math.min(report.serviceMs, fallbackServiceMs) + differenceMs * weight;
+        }
+    }
 }
 
 /** Share of the slots that would be in use with one more request; above 1, the request has to queue. */
--- a/src/policy/serviceTime.ts
+++ b/src/policy/serviceTime.ts
@@ -1,8 +1,8 @@
 /**
  * Smoothed service time and failure rate of a target, from which its node computes the service time that it reports to
  * callers. With `learnsCapacity`, failed responses do not count as service time, since a fast failure says nothing
- * about the speed, and a sample after a time without samples has more weight, so that a few requests show that a target
- * has recovered.
+ * about the speed, and a sample after an unusually long time without samples has more weight: a target that was slow gets
+ * few requests, and these must show that it has recovered.
  */
 export interface ServiceTimeOptions {
     readonly learnsCapacity: boolean;
@@ -12,15 +12,21 @@
 const FAILURE_RATE_SMOOTHING = 0.04;
 /** Weight of the failure rate in the reported service time: at 10% failures, it is 1.8 times the measured one. */
 const FAILURE_RATE_PENALTY = 8;
-/** A sample that comes this long after the previous one has the maximum weight; earlier ones proportionally less. */
-const FULL_WEIGHT_GAP_MS = 1000;
+/** A sample has more weight if it comes after more than this many usual intervals between samples. */
+const USUAL_INTERVALS = 2;
 /** Below 1, since a single request may be slow by chance. */
-const MAX_SAMPLE_WEIGHT = 0.5;
+const MAX_SAMPLE_WEIGHT = 0.8;
+/** The usual interval is the mean of this many samples, and follows changes as slowly later on. */
+const INTERVAL_SAMPLES = 100;
+/** From this number of samples on, a longer interval counts as twice the usual one only, so that it stays unusual. */
+const MIN_INTERVAL_SAMPLES = 20;
 
 export class ServiceTime {
     private smoothedMs = 0;
     private failureRate = 0;
     private lastSampleAt = 0;
+    private usualIntervalMs = 0;
+    private sampleCount = 0;
 
     constructor(private readonly options: ServiceTimeOptions) {}
 
@@ -37,6 +43,7 @@
     reset(): void {
         this.smoothedMs = 0;
         this.failureRate = 0;
+        this.sampleCount = 0;
     }
 
     recordResponse(elapsedMs: number, hasFailed: boolean, now: number): void {
@@ -53,7 +60,14 @@
     }
 
     private weightAt(now: number): number {
-        const weight = (now - this.lastSampleAt) / FULL_WEIGHT_GAP_MS;
+        if (++this.sampleCount === 1) return 1;
+        const intervalMs = now - this.lastSampleAt;
+        const weight = SERVICE_TIME_SMOOTHING * intervalMs / (USUAL_INTERVALS * this.usualIntervalMs);
+        const isUsualKnown = this.sampleCount > MIN_INTERVAL_SAMPLES && this.usualIntervalMs > 0;
+        const countedMs = isUsualKnown ? Math.min(intervalMs, 2 * this.usualIntervalMs) : intervalMs;
+        this.usualIntervalMs += (countedMs - this.usualIntervalMs)
+            / Math.min(INTERVAL_SAMPLES, this.sampleCount - 1);
+        if (!isUsualKnown) return SERVICE_TIME_SMOOTHING;
         return Math.max(SERVICE_TIME_SMOOTHING, Math.min(MAX_SAMPLE_WEIGHT, weight));
     }
 }
--- a/src/policy/targetCapacity.ts
+++ b/src/policy/targetCapacity.ts
@@ -48,6 +48,8 @@
 const QUEUE_TICKS = 5;
 /** The limit counts as used if the target reached it in this share of the recent ticks. */
 const MIN_USED_SHARE = 0.5;
+/** Without signs of a knee, the limit must have been used for about 2 s: a short overload is no time for trials. */
+const MIN_USED_SHARE_WITHOUT_SIGNS = 0.75;
 const USE_SMOOTHING = 0.1;
 const SPEED_SMOOTHING = 0.3;
 const TICKS_PER_SECOND = 10;
@@ -167,8 +169,9 @@
             : this.queueTicks >= QUEUE_TICKS;
         if (isWithoutRoom === this.isWithoutRoom) return;
         this.isWithoutRoom = isWithoutRoom;
-        // The trial was about the other limit.
+        // The trial and the step were about the other limit.
         this.trial = undefined;
+        this.step = FIRST_STEP;
     }
 
     private endSecond(now: number): void {
@@ -190,6 +193,7 @@
         // At the maximum limit under a lasting load, all runs are near the limit, so that there may be no signs.
         const areSignsRequired = limit < this.maxLimit || !this.isWithoutRoom;
         if (this.direction === "down" && !this.kneeSigns.allowsTrial(areSignsRequired)) return;
+        if (this.usedShare < MIN_USED_SHARE_WITHOUT_SIGNS && !this.kneeSigns.allowsTrial(true)) return;
         const phaseMs = Math.min(MAX_PHASE_MS, Math.max(MIN_PHASE_MS, serviceMs * SERVICE_TIMES_PER_PHASE));
         this.trial = new LimitTrial({
             low,
@@ -229,6 +233,7 @@
     }
 
     private changeLimit(limit: number, now: number): void {
+        this.kneeSigns.clear();
         if (this.isWithoutRoom) {
             this.peakLimit = limit;
             this.kneeLimit = Math.min(this.kneeLimit, limit);
--- a/test/support/overloadSimulation.ts
+++ b/test/support/overloadSimulation.ts
@@ -120,6 +120,7 @@
     private readonly generator;
     private now = 0;
     private lastId = 0;
+    private calls = 0;
     private remoteCalls = 0;
 
     constructor(private readonly options: SimulationOptions) {
@@ -167,8 +168,7 @@
         const utilizations = this.targets.map(({ busySlotMs }) =>
             busySlotMs / (measuredMs * this.options.slots)
         );
-        const calls = this.targets.reduce((sum, { starts }) => sum + starts, 0);
-        const remoteShare = this.remoteCalls / calls;
+        const remoteShare = this.remoteCalls / this.calls;
         return { classes: this.results, utilizations, targets: this.targets, remoteShare };
     }
 
@@ -239,6 +239,7 @@
         const candidates = nodes[Math.floor(this.nextRandom() * 0.999_999 * nodes.length)]!;
         const candidate = candidates[this.chooseTarget(candidates, request)]!;
         const { target } = candidate;
+        this.calls++;
         if (!candidate.isInLocalDataCentre) this.remoteCalls++;
         const leftMs = request.firstSentAt + request.trafficClass.deadlineMs - this.now;
         // A nested call may wait for a slot for 0.6 of the time left, as in the dispatcher of the mesh.
