--- a/src/mesh/metricsPage.ts
+++ b/src/mesh/metricsPage.ts
@@ -113,6 +113,15 @@
             "Smoothed time of a request at the target",
             load.serviceMs / 1000,
         );
+        const { capacity } = node.runner;
+        if (capacity !== undefined) {
+            addGauge("filbertspool_learned_limit", "Learned concurrency limit", capacity.limit);
+            addGauge(
+                "filbertspool_relative_speed",
+                "Speed of the target relative to the last minute's baseline",
+                capacity.relativeSpeed,
+            );
+        }
         addGauge("filbertspool_config_version", "Version in force", load.configVersion);
         addGauge("filbertspool_nodes_known", "Nodes known, this one included", node.directory.size);
     }
--- a/test/mesh/targetCapacity.test.ts
+++ b/test/mesh/targetCapacity.test.ts
@@ -81,6 +81,31 @@
 
 const slowAtKnee = (_target: number, _now: number, running: number) => running >= 0.95 * SLOTS ? 1.3 : 1;
 
+function makeCapacity(): TargetCapacity {
+    const generator = xoroshiro128plus(1);
+    const capacity = new TargetCapacity({ rand: () => uniformInt(generator, 0, 0xffff) / 0x10000 });
+    capacity.setSlots(SLOTS, MAX_LIMIT, true);
+    return capacity;
+}
+
+/** Runs requests with each concurrency up to the limit for 120 s, without a queue. */
+function useFully(
+    capacity: TargetCapacity,
+    slowdownOf: (running: number) => number,
+    onTick: () => void,
+): void {
+    for (let now = 0; now < 120_000; now += 100) {
+        onTick();
+        for (let running = 1; running <= capacity.limitFor(true); running++) {
+            capacity.recordStart(running);
+            for (const elapsedMs of [20, 21, 22, 23]) {
+                capacity.record("r", elapsedMs * slowdownOf(running), running, capacity.phaseId, now);
+            }
+        }
+        capacity.tick(now, 0, 0, SERVICE_MS);
+    }
+}
+
 describe("learned limit", () => {
     it("stays below a knee at 95 % of the slots while all targets are overloaded", () => {
         const { before, after } = simulateBoth(makeOptions(1.2, { slowdown: slowAtKnee }));
@@ -128,26 +153,25 @@
 
     // Guards against unsafe requests being used to find out whether a higher limit is better.
     it("lets only idempotent requests start above the learned limit while others have room", () => {
-        const generator = xoroshiro128plus(1);
-        const capacity = new TargetCapacity({ rand: () => uniformInt(generator, 0, 0xffff) / 0x10000 });
-        capacity.setSlots(SLOTS, MAX_LIMIT, true);
+        const capacity = makeCapacity();
         let hasTriedHigher = false;
-        for (let now = 0; now < 120_000; now += 100) {
+        useFully(capacity, running => slowAtKnee(0, 0, running), () => {
             expect(capacity.limitFor(false)).to.be.at.most(capacity.limit);
             if (capacity.limitFor(true) > capacity.limit) hasTriedHigher = true;
-            for (let running = 30; running <= capacity.limitFor(true); running++) {
-                capacity.recordStart(running);
-                for (const elapsedMs of [20, 21, 22, 23]) {
-                    const slowedMs = slowAtKnee(0, now, running) * elapsedMs;
-                    capacity.record("r", slowedMs, running, capacity.phaseId, now);
-                }
-            }
-            capacity.tick(now, 40, 0, 22);
-        }
+        });
         expect(capacity.limit).to.be.lessThan(MAX_LIMIT);
         expect(hasTriedHigher).to.equal(true);
-        capacity.setSlots(8, 7, true);
+    });
+
+    // Guards against a target that gets almost no requests because of a wrong conclusion.
+    it("does not fall below a fourth of the slots, and follows the announced slots", () => {
+        const capacity = makeCapacity();
+        useFully(capacity, running => running ** 2, () => expect(capacity.limit).to.be.at.least(SLOTS / 4));
+        expect(capacity.limit).to.be.lessThan(SLOTS / 2);
+        capacity.setSlots(8, 7, false);
         expect(capacity.limit).to.equal(7);
+        capacity.setSlots(SLOTS, MAX_LIMIT, true);
+        expect(capacity.limit).to.equal(MAX_LIMIT);
     });
 
     // Guards against memory that grows with the routes of many configurations.
