--- a/src/mesh/dispatcher.ts
+++ b/src/mesh/dispatcher.ts
@@ -3,6 +3,7 @@
  * node, and records the load that the node reports with the outcome.
  */
 import { chooseTarget } from "../policy/loadBalancer.ts";
+import type { StaleReportPolicy } from "../policy/loadBalancer.ts";
 import { MAX_SMALL_BYTES } from "../policy/memoryBudget.ts";
 import type { MemoryBudget } from "../policy/memoryBudget.ts";
 import { shouldAvoidTarget } from "./call.ts";
@@ -60,7 +61,7 @@
         for (const node of this.options.directory.nodesOfService(call.service)) {
             if (node.isUsable && !call.triedNodes.includes(node)) candidates.push(node);
         }
-        const index = chooseTarget(candidates, now, this.options.rand);
+        const index = chooseTarget(candidates, now, this.options.rand, this.staleReportPolicy(call));
         if (index < 0) return false;
         const node = candidates[index]!;
         call.triedNodes.push(node);
@@ -96,6 +97,11 @@
         return true;
     }
 
+    private staleReportPolicy({ route }: Call): StaleReportPolicy {
+        if (!this.options.runner.learnsCapacity) return "ignore";
+        return route.isIdempotent ? "explore" : "remember";
+    }
+
     /** Whether a usable target is left that the call has not tried yet. Checked before the retry budget is spent. */
     hasUntriedTarget(call: Call): boolean {
         return this.options.directory.nodesOfService(call.service)
--- a/src/mesh/metricsPage.ts
+++ b/src/mesh/metricsPage.ts
@@ -154,6 +154,15 @@
             "Smoothed time of a request at the target",
             load.serviceMs / 1000,
         );
+        const { capacity } = node.runner;
+        if (capacity !== undefined) {
+            addGauge("filbertspool_learned_limit", "Learned concurrency limit", capacity.limit);
+            addGauge(
+                "filbertspool_relative_speed",
+                "Speed of the target relative to the last minute's baseline",
+                capacity.relativeSpeed,
+            );
+        }
         addGauge("filbertspool_config_version", "Version in force", load.configVersion);
         if (node.storeEra !== undefined) {
             addGauge("filbertspool_store_era", "Era of the store", node.storeEra);
--- a/src/mesh/nodeOptions.ts
+++ b/src/mesh/nodeOptions.ts
@@ -26,6 +26,8 @@
     readonly retryBudget: RetryBudgetOptions;
     /** What the checked bound of the quotas allows beyond them. */
     readonly quotaBounds: QuotaBounds;
+    /** Whether the concurrency limit of the target is learned from its service times. */
+    readonly learnsCapacity: boolean;
     /** Time in ms from the stop signal until the process is killed. */
     readonly graceMs: number;
     readonly store: ControlStore;
--- a/test/support/platformMesh.ts
+++ b/test/support/platformMesh.ts
@@ -178,6 +178,7 @@
             retrySlack: 48,
             retryWindowMs: 10_000,
             quotaBounds: { windowMs: 5000, overage: 0.1, slack: 20 },
+            learnsCapacity: false,
         };
     }
 }
