--- a/test/mesh/targetCapacity.test.ts
+++ b/test/mesh/targetCapacity.test.ts
@@ -7,6 +7,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { chooseTarget } from "../../src/policy/loadBalancer.ts";
 import { RouteBaselines } from "../../src/policy/routeBaselines.ts";
+import { ServiceTime } from "../../src/policy/serviceTime.ts";
 import { TargetCapacity } from "../../src/policy/targetCapacity.ts";
 import { simulateOverload } from "../support/overloadSimulation.ts";
 import type { SimulationOptions, SimulationResult, TrafficClass } from "../support/overloadSimulation.ts";
@@ -234,6 +235,18 @@
         expect(after.targets[0]!.limit).to.equal(MAX_LIMIT);
     });
 
+    // Guards against a target that seems fast because it fails fast.
+    it("reports no shorter service time for a target that fails 45 % of its requests fast", () => {
+        const serviceTime = new ServiceTime({ learnsCapacity: true });
+        for (let index = 0; index < 2000; index++) {
+            const hasFailed = index * 9 % 20 < 9;
+            serviceTime.recordResponse(hasFailed ? 2 : 40, hasFailed, index * 5);
+            serviceTime.recordOutcome(hasFailed);
+        }
+        expect(serviceTime.ms).to.equal(40);
+        expect(serviceTime.reportedMs).to.be.greaterThan(120);
+    });
+
     // Guards against a report that is trusted for good: without other requests, the target would never be used again.
     it("forgets that a target was slow", () => {
         const report = { cutoff: 1023, running: 0, queued: 0, limit: 20, serviceMs: 40, configVersion: 1 };
--- a/test/support/meshFixtures.ts
+++ b/test/support/meshFixtures.ts
@@ -95,11 +95,10 @@
 
 /** A runner for a target at a loopback port, which is ready with id `i` and service `s`. */
 export function makeRunner(
-    { port, slots, write = () => undefined, learnsCapacity = false }: {
+    { port, slots, write = () => undefined }: {
         readonly port: number;
         readonly slots: number;
         readonly write?: (line: string) => void;
-        readonly learnsCapacity?: boolean;
     },
 ): Runner {
     const runner = new Runner({
@@ -112,7 +111,7 @@
         entryCutoffOf: () => 1023,
         crashGuard: { onCrash: () => undefined, onAnswered: () => undefined },
         routeCalls: { observe: () => undefined },
-        learnsCapacity,
+        learnsCapacity: false,
     });
     runner.setTarget({ id: "i", service: "s", state: "ready", slots, bornAt: 1 });
     return runner;
