bench/platformCpu: report a low rate without warm-up, and system calls

Cause: deployments with small hosts send few requests a second to processes that never get warm, which cost far more per request than the 800 a second after a warm-up that the bench measured.

Change: two cases, each with new processes: cold (4 s without requests, then 100 a second without warm-up) and warm (as before). User and system time are reported apart, and writes, reads and voluntary context switches. CPU time comes from the scheduler's count instead of clock ticks of 10 ms. PROGRAM names another build, CASES selects the cases.

--- a/bench/platformCpu.ts
+++ b/bench/platformCpu.ts
@@ -1,7 +1,10 @@
 /**
  * Measures the CPU time that a request costs the node where it enters and the node beside its target. Runs the built
- * platform program at a steady rate and prints the microseconds per request of both nodes. `--prof DIR` also writes V8
- * CPU profiles to a directory; without it, the variable `NODE_FLAGS` can pass flags to Node.js.
+ * platform program: without requests, then at a low rate without a warm-up, then on new processes at a high rate after a
+ * warm-up. Prints the microseconds per request of both nodes, divided into user and system time, and their writes, reads
+ * and voluntary context switches per request. `--prof DIR` also writes V8 CPU profiles to a directory; without it, the
+ * variable `NODE_FLAGS` can pass flags to Node.js. The variable `PROGRAM` names another build, to compare two of them in
+ * turn, and `CASES` only some of the cases (`cold`, `warm`).
  */
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
@@ -12,14 +15,25 @@
 import { freeListenerPort } from "../test/support/freePorts.ts";
 import { VIRTUAL_HOST, wireConfig } from "../test/support/platformMesh.ts";
 import { StandinStore } from "../test/support/standinStore.ts";
+import { cpuMs } from "./processStats.ts";
 
-const RATE_PER_S = 800;
-const WARM_UP_S = 4;
+interface Case {
+    readonly name: string;
+    readonly ratePerS: number;
+    readonly warmUpS: number;
+    /** Time without requests before the warm-up, whose cost is reported per second. */
+    readonly idleS: number;
+}
+
+const CASES: readonly Case[] = [
+    { name: "cold", ratePerS: 100, warmUpS: 0, idleS: 4 },
+    { name: "warm", ratePerS: 800, warmUpS: 4, idleS: 0 },
+];
 const MEASURE_S = 10;
 const CLIENT_COUNT = 60;
 const BODY_BYTES = 600;
 const SERVICE_MS = 20;
-const CLOCK_TICKS_PER_S = 100;
+const PROGRAM = process.env["PROGRAM"] ?? "target/filbertspool.cjs";
 
 const profileDir = process.argv[2] === "--prof" ? process.argv[3] : undefined;
 const settingsDir = mkdtempSync(join(tmpdir(), "filbertspool-"));
@@ -64,7 +78,7 @@
     const flags = profileDir === undefined
         ? (process.env["NODE_FLAGS"] ?? "").split(" ").filter(flag => flag !== "")
         : ["--cpu-prof", `--cpu-prof-dir=${profileDir}`];
-    return spawn(process.execPath, [...flags, "--max-semi-space-size=4", "target/filbertspool.cjs"], {
+    return spawn(process.execPath, [...flags, "--max-semi-space-size=4", PROGRAM], {
         env: { PATH: process.env["PATH"], FILBERTSPOOL_BOOT: path },
         stdio: ["ignore", "ignore", "inherit"],
     });
@@ -138,18 +152,49 @@
     }
 }
 
-function readCpuMs(child: ChildProcess): number {
-    const fields = readFileSync(`/proc/${child.pid}/stat`, "utf8").split(") ")[1]!.split(" ");
-    return (Number(fields[11]) + Number(fields[12])) * 1000 / CLOCK_TICKS_PER_S;
+/** Totals of a process since its start, or per request. */
+interface Usage {
+    readonly cpuUs: number;
+    /** User time and CPU time in clock ticks, for their ratio. */
+    readonly userTicks: number;
+    readonly ticks: number;
+    readonly writes: number;
+    readonly reads: number;
+    readonly switches: number;
+}
+
+function readUsage({ pid }: ChildProcess): Usage {
+    const stat = readFileSync(`/proc/${pid}/stat`, "utf8").split(") ")[1]!.split(" ");
+    const io = readFileSync(`/proc/${pid}/io`, "utf8");
+    const status = readFileSync(`/proc/${pid}/status`, "utf8");
+    const numberAfter = (text: string, name: string) => Number(text.split(`${name}:`)[1]!.split("\n")[0]);
+    return {
+        cpuUs: cpuMs(pid!) * 1000,
+        userTicks: Number(stat[11]),
+        ticks: Number(stat[11]) + Number(stat[12]),
+        writes: numberAfter(io, "syscw"),
+        reads: numberAfter(io, "syscr"),
+        switches: numberAfter(status, "voluntary_ctxt_switches"),
+    };
+}
+
+function describeUsage(before: Usage, after: Usage, count: number): string {
+    const per = (name: keyof Usage) => (after[name] - before[name]) / count;
+    const user = per("cpuUs") * per("userTicks") / Math.max(per("ticks"), Number.MIN_VALUE);
+    return `${per("cpuUs").toFixed(0)} us (user ${user.toFixed(0)}, system ${
+        (per("cpuUs") - user).toFixed(0)
+    }), ${per("writes").toFixed(2)} writes, ${per("reads").toFixed(2)} reads, ${
+        per("switches").toFixed(2)
+    } voluntary switches`;
 }
 
 const delay = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
-async function generateLoad(clients: readonly Client[], seconds: number): Promise<void> {
+async function generateLoad(clients: readonly Client[], ratePerS: number, seconds: number): Promise<void> {
     const startedAt = performance.now();
     let started = 0;
     while (performance.now() - startedAt < seconds * 1000) {
-        const due = (performance.now() - startedAt) * RATE_PER_S / 1000;
+        const due = (performance.now() - startedAt) * ratePerS / 1000;
         for (const client of clients) {
             if (started >= due) break;
             if (!client.isIdle) continue;
@@ -160,28 +205,44 @@
     }
 }
 
-const store = new StandinStore();
-const storePort = await store.start();
-store.putConfig(wireConfig(1));
-const hosts = [await createHost("entry", "stock"), await createHost("shop", "shop")];
-const children = hosts.map(host => startNode(host, storePort));
-const targets = hosts.map(host => startTarget(host.ports.app));
-await delay(1500);
-for (const host of hosts) await registerInstance(host);
-await delay(500);
-const clients = Array.from({ length: CLIENT_COUNT }, () => new Client(hosts[0]!.ports.outbound));
-await generateLoad(clients, WARM_UP_S);
-const before = children.map(readCpuMs);
-const succeededBefore = succeeded;
-await generateLoad(clients, MEASURE_S);
-const requests = succeeded - succeededBefore;
-children.forEach((child, index) => {
-    const cpuUsPerRequest = (readCpuMs(child) - before[index]!) * 1000 / requests;
-    console.log(`${hosts[index]!.name}: ${cpuUsPerRequest.toFixed(0)} us of CPU time per request`);
-});
-console.log(`${requests} succeeded at ${RATE_PER_S}/s, ${refused} refused`);
-for (const child of children) child.kill("SIGTERM");
-await Promise.all(children.map(child => new Promise(resolve => child.once("exit", resolve))));
-for (const target of targets) target.close();
-store.stop();
+async function measure({ name, ratePerS, warmUpS, idleS }: Case): Promise<void> {
+    const store = new StandinStore();
+    const storePort = await store.start();
+    store.putConfig(wireConfig(1));
+    const hosts = [await createHost("entry", "stock"), await createHost("shop", "shop")];
+    const children = hosts.map(host => startNode(host, storePort));
+    const targets = hosts.map(host => startTarget(host.ports.app));
+    await delay(1500);
+    for (const host of hosts) await registerInstance(host);
+    await delay(500);
+    const clients = Array.from({ length: CLIENT_COUNT }, () => new Client(hosts[0]!.ports.outbound));
+    const report = (before: readonly Usage[], count: number, unit: string) =>
+        children.forEach((child, index) => {
+            const usage = describeUsage(before[index]!, readUsage(child), count);
+            console.log(`${name} ${hosts[index]!.name}: ${usage} per ${unit}`);
+        });
+    if (idleS > 0) {
+        const before = children.map(readUsage);
+        await delay(idleS * 1000);
+        report(before, idleS, "second without requests");
+    }
+    await generateLoad(clients, ratePerS, warmUpS);
+    const before = children.map(readUsage);
+    const [succeededBefore, refusedBefore] = [succeeded, refused];
+    await generateLoad(clients, ratePerS, MEASURE_S);
+    const requests = succeeded - succeededBefore;
+    report(before, requests, "request");
+    console.log(
+        `${name}: ${requests} succeeded at ${ratePerS}/s after a warm-up of ${warmUpS} s, ${
+            refused - refusedBefore
+        } refused`,
+    );
+    for (const child of children) child.kill("SIGTERM");
+    await Promise.all(children.map(child => new Promise(resolve => child.once("exit", resolve))));
+    for (const target of targets) target.close();
+    store.stop();
+}
+
+const selected = process.env["CASES"]?.split(",") ?? CASES.map(({ name }) => name);
+for (const testCase of CASES) if (selected.includes(testCase.name)) await measure(testCase);
 process.exit(0);
