Run the timer of the quotas only when something is due

Cause: an interval timer woke each node every 25 ms while any account had a rate, although an idle node sends a report only every 400 ms.

Change: a timer is started for the next report, the end of the wait for a response or the expiry of the first waiting request, whichever is first. An admitted request moves it to an earlier time if few tokens are left. A pool node that has become silent is replaced in the same wake-up. The check in test/platform/quotas.test.ts that no timer runs without accounts uses the state of the new timer instead of the timer object.

--- a/src/mesh/quotas.ts
+++ b/src/mesh/quotas.ts
@@ -1,7 +1,8 @@
 /**
  * Quotas of client accounts over all nodes: sends the reports of this node's shares to the pool nodes, answers those of
  * other nodes, and holds requests that wait for a token. The decisions are in `src/policy/quotaShare.ts` and
- * `quotaPool.ts`. While no account has a rate, nothing is sent and no timer runs.
+ * `quotaPool.ts`. The timer fires when a report is due or a waiting request expires, since each wake-up of the process
+ * costs processor time. While no account has a rate, nothing is sent and no timer runs.
  */
 import { QuotaPool } from "../policy/quotaPool.ts";
 import { PoolNodeChooser } from "../policy/quotaPoolNodes.ts";
@@ -11,6 +12,7 @@
 import type { QuotaBounds, QuotaReport, QuotaResponse } from "../policy/quotaTypes.ts";
 import { steadyNow } from "./clock.ts";
 import type { Counters } from "./counters.ts";
+import { DueTimer } from "./dueTimer.ts";
 import type { EventLog } from "./eventLog.ts";
 import type { KnownNode, NodeDirectory } from "./nodeDirectory.ts";
 import type { QuotaGate } from "./quotaGate.ts";
@@ -53,7 +55,6 @@
 }
 
 export const QUOTA_REPORT_METHOD = "quota.report";
-const TICK_MS = 25;
 /** Maximum time for which a request waits for a token; a report and its response usually take a few ms. */
 const MAX_WAIT_MS = 80;
 const MAX_WAITING_PER_ACCOUNT = 256;
@@ -82,8 +83,9 @@
     private nodesUpdatedAt = -Infinity;
     private chosenAt = -Infinity;
     private loggedAt = -Infinity;
-    private timer: NodeJS.Timeout | undefined;
-    private isSendScheduled = false;
+    private isRunning = false;
+    private readonly timer = new DueTimer(() => this.update());
+    private isUpdateScheduled = false;
 
     constructor(private readonly options: QuotasOptions) {
         this.table = new QuotaTable(0, [], options.bounds);
@@ -97,9 +99,9 @@
         for (const pool of this.pools.values()) pool.setTable(this.table);
         this.indexAccounts();
         if (this.table.limits.length === 0) this.close();
-        else if (this.timer === undefined) {
-            this.tick();
-            this.timer = setInterval(() => this.tick(), TICK_MS);
+        else {
+            this.isRunning = true;
+            this.update();
         }
     }
 
@@ -111,6 +113,7 @@
         if (this.freeAt !== Infinity) return;
         this.freeAt = steadyNow() + TAKE_BACK_MS * intervalScaleOf(this.options.directory.size);
         for (const { share } of this.own) share.allowFrom(this.freeAt);
+        this.startTimer(steadyNow());
     }
 
     onNodesChanged(): void {
@@ -119,8 +122,8 @@
 
     /** Ends the timer; requests that wait are refused. */
     close(): void {
-        clearInterval(this.timer);
-        this.timer = undefined;
+        this.isRunning = false;
+        this.timer.stop();
         const waiting = [...this.waiting.values()];
         this.waiting.clear();
         for (const requests of waiting) for (const { onDecided } of requests) onDecided(false);
@@ -137,6 +140,8 @@
         const result = own.share.acquire(name, now);
         if (result === "admitted") {
             this.options.counters.countQuotaUse(own.label);
+            // Few tokens may be left now, so that the next report is due earlier.
+            if (this.timer.isLateFor(own.share.reportDueAt())) this.startTimer(now);
             return "admitted";
         }
         const requests = this.waiting.get(name) ?? [];
@@ -147,7 +152,7 @@
         requests.push({ until: now + MAX_WAIT_MS, onDecided });
         this.waiting.set(name, requests);
         own.share.setWaiting(name, requests.length);
-        this.scheduleSend();
+        this.scheduleUpdate();
         return "waiting";
     }
 
@@ -197,21 +202,43 @@
         return pool.onReport(report, view, now);
     }
 
-    private tick(): void {
+    /** Does all that is due, and starts the timer for what is due next. */
+    private update(): void {
         const now = steadyNow();
+        this.timer.stop();
         this.updateNodes(now);
-        if (now - this.chosenAt >= CHOOSE_INTERVAL_MS) {
+        for (const { share } of this.own) share.expirePending(now);
+        if (
+            now - this.chosenAt >= CHOOSE_INTERVAL_MS || this.own.some(({ share }) => share.isPoolNodeSilent)
+        ) {
             this.chosenAt = now;
             for (const own of this.own) this.choosePoolNode(own, now);
         }
         this.sendDue(now);
         if (this.waiting.size > 0) this.refuseExpired(now);
-        if (now - this.loggedAt < LOG_INTERVAL_MS) return;
-        this.loggedAt = now;
-        this.logRefusals();
-        for (const [label, pool] of this.pools) {
-            if (now - pool.lastReportAt > POOL_IDLE_MS) this.pools.delete(label);
+        if (now - this.loggedAt >= LOG_INTERVAL_MS) {
+            this.loggedAt = now;
+            this.logRefusals();
+            for (const [label, pool] of this.pools) {
+                if (now - pool.lastReportAt > POOL_IDLE_MS) this.pools.delete(label);
+            }
+        }
+        this.startTimer(now);
+    }
+
+    private startTimer(now: number): void {
+        if (this.isRunning) this.timer.start(this.nextDueAt(now), now);
+    }
+
+    /** When a report is due, a waiting request expires or, without a pool node, one may be found. */
+    private nextDueAt(now: number): number {
+        let dueAt = now + LOG_INTERVAL_MS;
+        for (const { share } of this.own) {
+            const shareDueAt = share.poolNode === undefined ? now + CHOOSE_INTERVAL_MS : share.reportDueAt();
+            dueAt = Math.min(dueAt, shareDueAt);
         }
+        for (const requests of this.waiting.values()) dueAt = Math.min(dueAt, requests[0]!.until);
+        return dueAt;
     }
 
     private updateNodes(now: number): void {
@@ -272,13 +299,13 @@
         }
     }
 
-    /** Sends the reports that are due at the end of this turn of the event loop, with all requests that wait by then. */
-    private scheduleSend(): void {
-        if (this.isSendScheduled) return;
-        this.isSendScheduled = true;
+    /** Does what is due at the end of this turn of the event loop, for all requests that wait by then. */
+    private scheduleUpdate(): void {
+        if (this.isUpdateScheduled) return;
+        this.isUpdateScheduled = true;
         setImmediate(() => {
-            this.isSendScheduled = false;
-            if (this.timer !== undefined) this.sendDue(steadyNow());
+            this.isUpdateScheduled = false;
+            if (this.isRunning) this.update();
         });
     }
 
@@ -304,20 +331,21 @@
         counters.quotaReportsSent++;
         request(node, QUOTA_REPORT_METHOD, encodeReport(sent.report)).then(
             response => this.onResponse(own, sent, safeDecodeResponse(response)),
-            () => own.share.onNoResponse(sent),
+            () => this.onResponse(own, sent, undefined),
         );
     }
 
     private onResponse(own: OwnShare, sent: SentReport, response: QuotaResponse | undefined): void {
         if (response === undefined) {
             own.share.onNoResponse(sent);
+            this.startTimer(steadyNow());
             return;
         }
         if (!own.share.onResponse(sent, response, steadyNow())) return;
         for (const name of this.waiting.keys()) {
             if (this.shareOfAccount.get(name) === own) this.decideWaiting(own, name);
         }
-        this.scheduleSend();
+        this.startTimer(steadyNow());
     }
 
     private decideWaiting(own: OwnShare, name: string): void {
--- a/src/policy/quotaShare.ts
+++ b/src/policy/quotaShare.ts
@@ -213,17 +213,27 @@
     /** Whether a report is due. At most one is on its way. */
     isReportDue(now: number): boolean {
         if (this.poolNodeName === undefined) return false;
+        this.expirePending(now);
+        return now >= this.reportDueAt();
+    }
+
+    /** When the next report is due, or when the one on its way counts as lost; `Infinity` without a pool node. */
+    reportDueAt(): number {
+        if (this.poolNodeName === undefined) return Infinity;
         const { scale } = this;
-        if (this.pending !== undefined) {
-            if (now - this.pending.sentAt < TOKEN_LIFETIME_MS * scale) return false;
-            this.onNoResponse(this.pending);
-        }
-        const elapsed = now - this.sentAt;
-        if (this.hasWaiting && elapsed >= WAITING_REPORT_MS) return true;
+        if (this.pending !== undefined) return this.pending.sentAt + TOKEN_LIFETIME_MS * scale;
+        if (this.hasWaiting) return this.sentAt + WAITING_REPORT_MS;
+        const soonAt = this.sentAt + LOW_REPORT_MS;
+        if (this.isLow) return soonAt;
+        const regularAt = this.sentAt + (this.isActive ? ACTIVE_REPORT_MS : IDLE_REPORT_MS) * scale;
         // The delegation starts with the second report, which has the echo of the first response.
-        const isStarting = this.echo !== undefined && this.lentUntil === -Infinity && now >= this.freeAt;
-        if ((this.isLow || isStarting) && elapsed >= LOW_REPORT_MS) return true;
-        return elapsed >= (this.isActive ? ACTIVE_REPORT_MS : IDLE_REPORT_MS) * scale;
+        const isStarting = this.echo !== undefined && this.lentUntil === -Infinity;
+        return isStarting ? Math.min(regularAt, Math.max(soonAt, this.freeAt)) : regularAt;
+    }
+
+    /** Ends the wait for the response to the report on its way if the tokens in it would have expired. */
+    expirePending(now: number): void {
+        if (this.pending !== undefined && now >= this.reportDueAt()) this.onNoResponse(this.pending);
     }
 
     /** Creates the next report, which is then on its way until `onResponse` or `onNoResponse`. */
--- a/test/platform/quotas.test.ts
+++ b/test/platform/quotas.test.ts
@@ -105,7 +105,7 @@
         await settle(600);
         for (const { node: { meshNode } } of mesh.hosts) {
             expect(meshNode.counters.quotaReportsSent).to.equal(0);
-            expect(meshNode.quotas["timer"]).to.equal(undefined);
+            expect(meshNode.quotas["timer"].isRunning).to.equal(false);
         }
     });
 });
