Take the bounds of the fairness tests from the requirements

Cause: the bounds 0.87 to 0.93, 0.75 and 0.7 to 0.85 were set near measured figures, so they stated no requirement.

Change: the other accounts must be better off than without fairness, compared within the same run, and every account must be served at least a quarter as often as all requests (docs/accounts-and-limits.md, 1.3).

--- a/test/mesh/accountFairness.test.ts
+++ b/test/mesh/accountFairness.test.ts
@@ -39,9 +39,9 @@
         const hot = accounts.slice(2, 3);
         const others = accounts.filter(account => !hot.includes(account));
         const hashed = simulate(accounts, { isFair: false });
-        expect(hashed.shareOf(others)).to.be.within(0.87, 0.93);
         const fair = simulate(accounts);
         expect(fair.shareOf(others)).to.be.greaterThan(0.95);
+        expect(fair.shareOf(others)).to.be.greaterThan(hashed.shareOf(others));
         expect(fair.total).to.be.closeTo(hashed.total, 0.02);
         expect(fair.shareOf(hot)).to.be.greaterThan(fair.total / 4);
     });
@@ -76,7 +76,7 @@
         const accounts = zipfAccounts({ a5: { nodeCount: 3 }, a30: { nodeCount: 3 } });
         const result = simulate(accounts, { capacityPerS: 400, nodeCount: 30, seconds: 40 });
         for (const index of [5, 30]) {
-            expect(result.shareOf([accounts[index]!]), `a${index}`).to.be.greaterThan(0.75 * result.total);
+            expect(result.shareOf([accounts[index]!]), `a${index}`).to.be.at.least(result.total / 4);
         }
     });
 
@@ -85,9 +85,14 @@
             account: makeAccount({ name: `a${index}`, ratePerS: 2 }),
             rateAt: () => index === 7 ? 100 : 1,
         }));
-        const result = simulate(accounts, { capacityPerS: 1200, nodeCount: 1 });
+        const options = { capacityPerS: 1200, nodeCount: 1 };
+        const hashed = simulate(accounts, { ...options, isFair: false });
+        const result = simulate(accounts, options);
+        // Both the accounts that are told apart and the others are better off than without fairness.
         for (const [from, to] of [[8, 750], [1100, 1500]] as const) {
-            expect(result.shareOf(accounts.slice(from, to))).to.be.within(0.7, 0.85);
+            const some = accounts.slice(from, to);
+            expect(result.shareOf(some)).to.be.greaterThan(hashed.shareOf(some));
+            expect(result.shareOf(some)).to.be.at.least(result.total / 4);
         }
         expect(result.shareOf([accounts[7]!])).to.be.within(result.total / 4, result.total / 2);
     });
