Let accounts gain nothing by retrying at once

Cause: the load of an account was estimated from its recent requests at a node and one request at the mean load. At about three recent requests per node, a quarter of the demand by retries did not count, so accounts whose clients retry at once were served 1.15 times as often as the others. The bound of the test, 1.35, was set near the measured figure.

Change: the mean counts as 0.25 requests. The test requires that accounts that retry are served no more often than the others, apart from three standard errors of the difference, instead of up to 1.35 times as often.

--- a/src/policy/priorityDemand.ts
+++ b/src/policy/priorityDemand.ts
@@ -42,9 +42,10 @@
 const USUAL_MS = 120_000;
 /**
  * Number of requests that count as much as all of an account's own recent ones when its load is estimated. With fewer
- * requests, the load is taken to be nearer to the mean, since the random variation is larger than the demand.
+ * requests, the load is taken to be nearer to the mean, since the random variation is larger than the demand. With 1,
+ * clients that retried at once were served more than others, since part of their higher demand did not count.
  */
-const PRIOR_REQUESTS = 1;
+const PRIOR_REQUESTS = 0.25;
 /** Accounts with a lower decayed count of usual requests are forgotten. */
 const MIN_USUAL_REQUESTS = 0.05;
 /** Accounts with a lower decayed count of recent requests do not count as part of the current demand. */
--- a/test/mesh/accountFairness.test.ts
+++ b/test/mesh/accountFairness.test.ts
@@ -46,7 +46,7 @@
         expect(fair.shareOf(hot)).to.be.greaterThan(fair.total / 4);
     });
 
-    it("gives clients that retry at once hardly more than others with the same demand", () => {
+    it("gives clients that retry at once no more than others with the same demand", () => {
         const accounts = Array.from({ length: 75 }, (_, index): SimulatedAccount => ({
             account: makeAccount({ name: `a${index}` }),
             rateAt: () => 8,
@@ -54,13 +54,14 @@
         }));
         const retrying = accounts.filter(({ retries }) => retries === 5);
         const patient = accounts.filter(({ retries }) => retries === 0);
-        const advantageOf = (isFair: boolean) => {
-            const options = { capacityPerS: 300, seconds: 30, countFromS: 10, isFair };
-            const result = simulate(accounts, options);
-            return result.shareOf(retrying) / result.shareOf(patient);
-        };
-        expect(advantageOf(false)).to.be.greaterThan(3);
-        expect(advantageOf(true)).to.be.lessThan(1.35);
+        const options = { capacityPerS: 300, seconds: 30, countFromS: 10 };
+        const hashed = simulate(accounts, { ...options, isFair: false });
+        expect(hashed.shareOf(retrying)).to.be.greaterThan(3 * hashed.shareOf(patient));
+        const fair = simulate(accounts, options);
+        // Three standard errors of the difference of two shares, each of about half of the requests.
+        const requests = 75 * 8 * (options.seconds - options.countFromS);
+        const randomVariation = 3 * Math.sqrt(fair.total * (1 - fair.total) * 4 / requests);
+        expect(fair.shareOf(retrying)).to.be.at.most(fair.shareOf(patient) + randomVariation);
     });
 
     it("serves accounts with very few requests as often as others", () => {
