Read on once a connection holds little memory again

A connection that stops reading for lack of memory is read on by the guard, which only looks at holders above 64 KiB. With pipelining, the bytes may belong to an earlier request: once that was answered, the connection was no longer a large holder, was never read on, and had no timeout either, so the request behind it was never answered.

The connection now reads on by itself once it holds 64 KiB or less.

--- a/src/http/clientConnection.ts
+++ b/src/http/clientConnection.ts
@@ -8,6 +8,7 @@
  */
 import type net from "node:net";
 import { steadyNow } from "../mesh/clock.ts";
+import { MAX_SMALL_BYTES } from "../policy/memoryBudget.ts";
 import type { HolderState, MemoryHolder } from "../policy/memoryBudget.ts";
 import { MAX_JOINED_BODY_BYTES } from "./body.ts";
 import type { ConnectionGuard } from "./connectionGuard.ts";
@@ -317,6 +318,8 @@
 
     private pauseOrResume(): void {
         const mayPause = !this.isClosing && this.errorResponse === undefined;
+        // The guard resumes large holders only; this one is small again, since an earlier request has been answered.
+        if (this.heldBytes <= MAX_SMALL_BYTES) this.isWaitingForMemory = false;
         if (
             mayPause && !this.isWaitingForMemory && this.reader.pendingHead !== undefined
             && this.guard?.mustWait(this.heldBytes) === true
--- a/test/mesh/connectionGuard.test.ts
+++ b/test/mesh/connectionGuard.test.ts
@@ -34,6 +34,7 @@
     let budget: MemoryBudget;
     let clients: Client[];
     let handledPaths: string[];
+    let sendHeldResponse: () => void;
 
     beforeEach(async () => {
         port = await freeListenerPort();
@@ -47,8 +48,14 @@
             limits: () => LIMITS,
             memory: budget,
             maxConnections: () => 3,
+            isPipelinable: () => true,
             handler: ({ head }, sendResponse) => {
                 handledPaths.push(head.path);
+                if (head.path === "/held") {
+                    sendHeldResponse = () =>
+                        sendResponse({ status: 200, headers: "", body: Buffer.alloc(0) });
+                    return undefined;
+                }
                 sendResponse({
                     status: 200,
                     headers: "",
@@ -94,6 +101,22 @@
         expect(budget.largeBytes).equal(0);
     });
 
+    // Guards against a connection that stops reading for ever: it held much because of an earlier request of its own, and
+    // was no longer considered once that was answered.
+    it("read a small pipelined request on once the large one before it has been answered", async () => {
+        const bodyBytes = Math.ceil(budget.largeRequestLimit) + 1;
+        const client = connect("PUT /held HTTP/1.1", bodyBytes);
+        client.socket.write(Buffer.alloc(bodyBytes));
+        await waitFor("the large request is handled", () => handledPaths.length === 1);
+        client.socket.write("PUT /5 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nContent-Length: 2\r\n\r\na");
+        await waitFor("reading has stopped", () => budget.largeBytes > bodyBytes);
+        sendHeldResponse();
+        await waitFor("the memory is released", () => budget.largeBytes === 0);
+        server.relieveMemory(steadyNow());
+        client.socket.write("b");
+        await waitFor("the small request is handled", () => handledPaths.length === 2);
+    });
+
     it("are closed if they do not read a response that others need room for, and release it", async () => {
         const unread = connect("GET /19000000 HTTP/1.1");
         unread.socket.pause();
