Count a large frame whose header arrives in two parts

If the first bytes of a large frame held its length but not the whole header, the reader waited for the whole frame: it was neither counted in the memory budget nor skipped without memory, and was joined, which needs it twice.

The reader now waits for the header only. The new test failed with a split after 4 bytes (0 bytes counted instead of 200,000) and passes for splits after 1 to 12 bytes; frames.test.ts: 5 passing.

--- a/src/mesh/frameReader.ts
+++ b/src/mesh/frameReader.ts
@@ -85,7 +85,11 @@
     /** Begins a large frame, once its header has arrived. */
     private startLarge(): Frame | undefined {
         if (this.buffer!.length < HEADER_BYTES) {
-            if (this.buffer!.length + this.chunkBytes < HEADER_BYTES) return undefined;
+            if (this.buffer!.length + this.chunkBytes < HEADER_BYTES) {
+                // Not the bytes of the whole frame: it is counted from its header on.
+                this.neededBytes = HEADER_BYTES;
+                return undefined;
+            }
             this.joinChunks();
         }
         const { chunks } = this;
--- a/test/mesh/frames.test.ts
+++ b/test/mesh/frames.test.ts
@@ -128,6 +128,24 @@
         expect(budget.smallBytes).to.equal(0);
     });
 
+    // Guards against a large frame that escapes the budget, since only part of its header came with the first bytes.
+    it("are counted in the memory budget wherever their header is split", () => {
+        const request = makeForwardedRequest({ body: Buffer.alloc(300_000) });
+        const bytes = Buffer.concat([encodeRequest(5, request)].flat());
+        for (let splitAt = 1; splitAt <= 12; splitAt++) {
+            const budget = new MemoryBudget(250);
+            const reader = new FrameReader(budget);
+            for (const chunk of [bytes.subarray(0, splitAt), bytes.subarray(splitAt, 200_000)]) {
+                reader.feed(chunk);
+                expect(reader.next()).to.equal(undefined);
+            }
+            expect(budget.largeBytes, `split at ${splitAt}`).to.equal(200_000);
+            reader.feed(bytes.subarray(200_000));
+            expect(reader.next()).to.have.property("type", "request");
+            expect(budget.largeBytes).to.equal(0);
+        }
+    });
+
     it("cause no error but FrameError when they are malformed", () => {
         fc.assert(fc.property(fc.uint8Array({ minLength: 4, maxLength: 300 }), bytes => {
             const buf = Buffer.from(bytes);
