Test pings with simulated times in whole milliseconds

The tests add intervals to the current time, which has a fraction. The tick that is exactly due then does nothing: 6 pings instead of 7 in 3.5 s, and silent connections that are found 100 ms later than the bound of 2.2 s. The product is not at fault: it calls tick about every 100 ms, and a tick that is early by a rounding error only delays a ping by one tick.

--- a/test/mesh/frameSocket.test.ts
+++ b/test/mesh/frameSocket.test.ts
@@ -18,6 +18,12 @@
 
 const TICK_MS = 100;
 
+/**
+ * Start of a simulated time span, in whole milliseconds. With fractions, the difference of two times that are 500 ms
+ * apart can be rounded to less than 500 ms, so that a tick which is exactly due does nothing.
+ */
+const simulationStart = () => Math.ceil(steadyNow());
+
 /** Calls `tick` at intervals of a simulated time span of `ms` on a connection whose other side never sends. */
 async function tickFor(
     ms: number,
@@ -35,7 +41,7 @@
         onClose: () => undefined,
         configVersion: () => 1,
     });
-    const startedAt = steadyNow();
+    const startedAt = simulationStart();
     for (let elapsedMs = 0; elapsedMs <= ms; elapsedMs += TICK_MS) {
         frameSocket.tick(startedAt + elapsedMs, keepaliveMs);
     }
@@ -112,7 +118,7 @@
 
     /** Ticks for a simulated time. */
     async function tickPeersFor(ms: number): Promise<void> {
-        const startedAt = steadyNow();
+        const startedAt = simulationStart();
         for (let elapsedMs = 0; elapsedMs <= ms; elapsedMs += TICK_MS) peers.tick(startedAt + elapsedMs);
         await settle();
     }
@@ -124,7 +130,7 @@
 
     it("are sent by the side that opened a connection, on one idle connection at a time", async () => {
         pingCount = 0;
-        const startedAt = steadyNow();
+        const startedAt = simulationStart();
         // The first tick is later than the interval, since the connections have just answered their first pings.
         for (let elapsedMs = 600; elapsedMs <= 3600; elapsedMs += 500) {
             peers.tick(startedAt + elapsedMs);
