--- a/test/platform/storeEras.test.ts
+++ b/test/platform/storeEras.test.ts
@@ -68,6 +68,17 @@
         expect(await readValues()).to.deep.equal(["a2", "b2"]);
     });
 
+    // Guards against a reader that reads all records again and again, since it never learns the era of its offset.
+    it("reads on by offset after a response without an era", async () => {
+        await readValues();
+        store.era = 2;
+        await client.readNewest("keyed.other");
+        store.era = undefined;
+        expect(await readValues()).to.deep.equal(["a3"]);
+        expect(reader.endOffset).to.equal(3);
+        expect(await readValues()).to.deep.equal([]);
+    });
+
     it("knows no offset on which a removal may depend until it has read in the new era", async () => {
         await readValues();
         expect(reader.endOffset).to.equal(3);
