--- a/test/platform/platformStore.test.ts
+++ b/test/platform/platformStore.test.ts
@@ -47,6 +47,48 @@
     });
 });
 
+describe("the node records of a store that goes back", () => {
+    // Guards against a lost wake-up: the records were read after this node's write only with the next poll, up to 30 s later.
+    it("are read again if this node's record is stored while one of a node that has left is written", async () => {
+        const makeRecord = (name: string) => ({
+            name,
+            address: "127.0.0.1:1",
+            dataCentre: "a",
+            startedAt: 1,
+            serial: 1,
+            target: undefined,
+        });
+        let reads = 0;
+        let isOwnWritten = false;
+        let failWrite: (() => void) | undefined;
+        const client: Pick<StoreClient, "readNewest" | "read" | "append" | "close"> = {
+            readNewest: async topic => {
+                if (topic === "keyed.op") return new Promise(() => undefined);
+                const records = [{ key: "left", value: Buffer.from("{}") }];
+                return { records, nextOffset: 1, era: ++reads };
+            },
+            read: async (_, from) => ({ records: [], nextOffset: from, isOffsetOutOfRange: true }),
+            append: (_, { key }) => {
+                isOwnWritten ||= key === "own";
+                if (key === "own") return Promise.resolve();
+                return new Promise((__, reject) => failWrite = () => reject(new StoreError(409, "conflict")));
+            },
+            close: () => undefined,
+        };
+        const store = new PlatformStore(client as StoreClient, new EventLog({ write: () => undefined }));
+        const role = { kind: "follow", waitMs: 0, isStandby: false, isFirst: true } as const;
+        store.start(createStoreListener({ departureSince: () => makeRecord("left"), role: () => role }));
+        await waitFor("the write of the lost record", () => failWrite !== undefined);
+        store.publish("own", makeRecord("own"));
+        await waitFor("the write of the own record", () => isOwnWritten);
+        await new Promise(resolve => setTimeout(resolve, 20));
+        const readsBefore = reads;
+        failWrite!();
+        await waitFor("a read after the write", () => reads > readsBefore);
+        store.stop();
+    });
+});
+
 describe("an outage of the store", () => {
     /** Number of reads of the configuration in a time of 2 s in which each one fails at once. */
     async function readsInOutage(role: StoreRole, hasConfig: boolean): Promise<number> {
