--- a/test/platform/storeEras.test.ts
+++ b/test/platform/storeEras.test.ts
@@ -122,14 +122,22 @@
         const store = new StandinStore();
         const client = new StoreClient({ host: "127.0.0.1", port: await store.start() });
         const node = new PlatformStore(client, new EventLog({ write: () => undefined }));
-        node.start(createStoreListener(overrides));
+        let hasReadRecord = false;
+        node.start(createStoreListener({
+            ...overrides,
+            onNode: (...args) => {
+                hasReadRecord ||= args[0] === "n";
+                overrides.onNode?.(...args);
+            },
+        }));
         const publish = (serial: number) => node.publish("n", { name: "n", serial } as NodeRecord);
         const storedSerial = () => {
             const value = store.newest(NODES_TOPIC).get("n");
             return value === undefined ? undefined : (JSON.parse(value.toString()) as NodeRecord).serial;
         };
         publish(1);
-        await waitFor("the record", () => storedSerial() === 1);
+        // The read that follows the write would show the node an era that begins before it.
+        await waitFor("the record, stored and read again", () => storedSerial() === 1 && hasReadRecord);
         const stop = () => {
             node.stop();
             store.stop();
