review: case 10, a service that changes without a signal stays the old caller for 2 s

Cause: the caller's service comes from the settings file only, which is read every 2 s; the heartbeat of the new instance, which names its service, is not considered.

The case replaces an instance by one of another service and changes the settings file without a signal.

--- a/review/lib-2/deployment.ts
+++ b/review/lib-2/deployment.ts
@@ -5,7 +5,7 @@
  */
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, renameSync, rmSync, writeFileSync } from "node:fs";
 import http from "node:http";
 import net from "node:net";
 import { tmpdir } from "node:os";
@@ -77,7 +77,7 @@
 
 /** One machine: its node process, its instance, and what the platform does to the process. */
 export class Machine {
-    readonly instance: Instance;
+    instance: Instance;
     child: ChildProcess | undefined;
     /** Ends of the process that the script has not caused by a signal of its own. */
     ownEnds = 0;
@@ -93,11 +93,17 @@
         private readonly settingsPath: string,
         private readonly record: RunRecord,
     ) {
-        this.instance = new Instance({
-            id: `i-${spec.name}`,
-            service: spec.service,
-            zone: spec.zone,
-            slots: spec.slots,
+        this.instance = this.createInstance(`i-${spec.name}`, spec.service);
+    }
+
+    /** An instance at the address of this machine. */
+    createInstance(id: string, service: string): Instance {
+        const { spec: { zone, slots }, ip, ports, record } = this;
+        return new Instance({
+            id,
+            service,
+            zone,
+            slots,
             ip,
             port: ports.app,
             controlPort: ports.control,
@@ -105,6 +111,17 @@
         });
     }
 
+    /** Writes the settings file anew with another service, in one step. */
+    changeService(service: string): void {
+        const text = readFileSync(this.settingsPath, "utf8").replace(
+            /^service = ".*"$/m,
+            `service = "${service}"`,
+        );
+        writeFileSync(`${this.settingsPath}.new`, text);
+        renameSync(`${this.settingsPath}.new`, this.settingsPath);
+        this.record.line(`${this.spec.name}: settings file has service = "${service}"`);
+    }
+
     get isRunning(): boolean {
         return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null;
     }
--- a/review/lib-2/instance.ts
+++ b/review/lib-2/instance.ts
@@ -24,6 +24,7 @@
 export interface RanRequest {
     readonly id: string;
     readonly path: string;
+    readonly caller: string | undefined;
     readonly at: number;
 }
 
@@ -130,8 +131,9 @@
             return void res.writeHead(421, { "X-Instance-Id": instanceId }).end();
         }
         const path = req.url!;
-        this.ran.push({ id, path, at: Date.now() });
-        record.line(`${instanceId} runs ${id} ${req.method} ${path} with ${bodyBytes} bytes`);
+        const caller = req.headers["x-caller-service"] as string | undefined;
+        this.ran.push({ id, path, caller, at: Date.now() });
+        record.line(`${instanceId} runs ${id} ${req.method} ${path} with ${bodyBytes} bytes for ${caller}`);
         this.working++;
         await new Promise(resolve => setTimeout(resolve, this.workMs(path)));
         this.working--;
